--- /dev/null
+++ b/call/outcome.go
@@ -0,0 +1,63 @@
+package call
+
+// Outcome says what became of a request.
+type Outcome string
+
+// The outcomes that a caller can be told.
+const (
+	Run     Outcome = "run"
+	NotRun  Outcome = "notRun"
+	Unknown Outcome = "unknown"
+)
+
+// Reason says in one word why a request has its outcome.
+type Reason string
+
+// The reasons that a caller can be told.
+const (
+	Answered         Reason = "answered"
+	BadRequest       Reason = "badRequest"
+	BodyTooLarge     Reason = "bodyTooLarge"
+	Cancelled        Reason = "cancelled"
+	ConnectFailed    Reason = "connectFailed"
+	ConnectionLost   Reason = "connectionLost"
+	DeadlineExceeded Reason = "deadlineExceeded"
+	InProgress       Reason = "inProgress"
+	KeyExpired       Reason = "keyExpired"
+	KeyHomeGone      Reason = "keyHomeGone"
+	KeyReused        Reason = "keyReused"
+	Leaving          Reason = "leaving"
+	NoConfiguration  Reason = "noConfiguration"
+	NoSelector       Reason = "noSelector"
+	NoUpstream       Reason = "noUpstream"
+	Overloaded       Reason = "overloaded"
+	Quarantined      Reason = "quarantined"
+	Replayed         Reason = "replayed"
+	ShortBody        Reason = "shortBody"
+	Stale            Reason = "stale"
+	UnknownService   Reason = "unknownService"
+	WrongIncarnation Reason = "wrongIncarnation"
+)
+
+// Status returns the HTTP status that pomelodoor itself answers with when it
+// has no answer of an upstream to pass on.
+func Status(outcome Outcome, reason Reason) int {
+	switch reason {
+	case BadRequest, ShortBody:
+		return 400
+	case NoSelector:
+		return 403
+	case UnknownService:
+		return 404
+	case InProgress, KeyReused, Replayed:
+		return 409
+	case BodyTooLarge:
+		return 413
+	case DeadlineExceeded:
+		return 504
+	}
+	if outcome == NotRun {
+		return 503
+	}
+	return 502
+}
--- /dev/null
+++ b/call/request.go
@@ -0,0 +1,61 @@
+package call
+
+import "time"
+
+// Priority orders requests when an upstream has more than it can do.
+type Priority string
+
+// The priorities, from first served to first shed.
+const (
+	High   Priority = "high"
+	Normal Priority = "normal"
+	Low    Priority = "low"
+)
+
+// Rank returns 0 for the priority that is served first, and more for the rest.
+func (p Priority) Rank() int {
+	switch p {
+	case High:
+		return 0
+	case Low:
+		return 2
+	}
+	return 1
+}
+
+// Request describes one request without its body.
+type Request struct {
+	// ID names the request in every daemon that it passes.
+	ID string
+	// Service is the name in the Host header.
+	Service string
+	// Caller is the name that selectors match.
+	Caller string
+	// Method is the HTTP method in upper case.
+	Method string
+	// Key is the Idempotency-Key, or empty.
+	Key string
+	// Fingerprint tells requests apart that share a key, and groups the
+	// resends of one request.
+	Fingerprint uint64
+	// Deadline is the moment after which the caller no longer waits.
+	Deadline time.Time
+	// Priority decides who waits when an upstream is full.
+	Priority Priority
+	// Attempt counts the tries made before this one, here and above.
+	Attempt int
+	// Hops counts the daemons that have handed the request on.
+	Hops int
+	// Replayable is true when the whole body is held and can be sent again.
+	Replayable bool
+}
+
+// Idempotent reports whether running the request twice is the same as running
+// it once, by the methods of RFC 9110, section 9.2.2.
+func (r Request) Idempotent() bool {
+	switch r.Method {
+	case "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE":
+		return true
+	}
+	return false
+}
