balance: choose an upstream by predicted cost

The cost of a candidate is link + wait + service time + penalties for failures and refusals. Reports age towards the usual load; own calls since the report are added; outstanding calls count before they end. Ejection has a cap, above which none is ejected, and trial calls.

--- /dev/null
+++ b/balance/cost.go
@@ -0,0 +1,89 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// loadLife is the time in which a load report loses 63 % of its weight
+	// against the usual load.
+	loadLife = 100 * time.Millisecond
+	// latencyLife is the time in which a latency loses 63 % of its weight
+	// against what is typical of the service.
+	latencyLife = 10 * time.Second
+	// failureCost is the time that a failed call is taken to cost.
+	failureCost = time.Second
+	// refusalCost is the time that a fresh refusal is taken to cost.
+	refusalCost = 50 * time.Millisecond
+	// overdueFactor is how many times its usual latency a call may take
+	// before it counts as a sign of a slow upstream.
+	overdueFactor = 3
+	// smoothing is the number of calls over which the expected wait bends
+	// from none to one slot's time for each call.
+	smoothing = 1.5
+)
+
+// cost returns the time in nanoseconds that a call to u is expected to take,
+// without the link.
+func (p *Picker) cost(u *upstream, now time.Time) float64 {
+	service := p.service(u, now)
+	cost := service + wait(u.calls(now), u.load.Slots, service)
+	if oldest := u.oldest(); !oldest.IsZero() {
+		cost = max(cost, float64(now.Sub(oldest))/overdueFactor)
+	}
+	if fails := u.failShare(now); fails > 0 {
+		cost += fails * float64(failureCost)
+	}
+	if u.refused > 0 {
+		cost += u.refused * fade(now.Sub(u.refusedAt), refusedLife) * float64(refusalCost)
+	}
+	return cost
+}
+
+// service returns the expected time in a slot, in nanoseconds.
+func (p *Picker) service(u *upstream, now time.Time) float64 {
+	known, at := float64(u.load.ServiceTime), u.measured
+	if known == 0 {
+		known, at = u.own.latency, u.own.observed
+	}
+	if known == 0 {
+		return p.typical
+	}
+	return p.typical + (known-p.typical)*fade(now.Sub(at), latencyLife)
+}
+
+// calls returns the expected number of calls in flight and queued: the last
+// report, drawn towards the usual number as it ages, and what was sent from
+// here since.
+func (u *upstream) calls(now time.Time) float64 {
+	if u.measured.IsZero() {
+		return float64(len(u.started))
+	}
+	reported := float64(u.load.InFlight + u.load.Queued)
+	trust := fade(now.Sub(u.measured), loadLife)
+	return u.usual + (reported-u.usual)*trust + float64(u.startedSince(u.measured))
+}
+
+// failShare returns the larger of the own and the reported failed share.
+func (u *upstream) failShare(now time.Time) float64 {
+	share := u.own.FailShare(now)
+	if u.load.FailPercent > 0 {
+		reported := float64(u.load.FailPercent) / 100
+		share = max(share, reported*fade(now.Sub(u.measured), failLife))
+	}
+	return share
+}
+
+// wait returns the expected wait for a slot when calls are there already. It
+// bends smoothly, because the number is uncertain.
+func wait(calls float64, slots int, service float64) float64 {
+	if slots <= 0 {
+		return calls * service / defaultSlots
+	}
+	excess := (calls + 1 - float64(slots)) / smoothing
+	if excess < 30 {
+		excess = math.Log1p(math.Exp(excess))
+	}
+	return excess * smoothing * service / float64(slots)
+}
--- /dev/null
+++ b/balance/picker.go
@@ -0,0 +1,176 @@
+package balance
+
+import "time"
+
+const (
+	// defaultChoices is how many candidates of the own availability zone, and
+	// as many of the others, are compared.
+	defaultChoices = 4
+	// drawsPerChoice bounds the draws that look for them.
+	drawsPerChoice = 6
+	// defaultSlots stands for the slots of an upstream that reports none.
+	defaultSlots = 10
+	// defaultRamp is how long a new upstream's share grows.
+	defaultRamp = 10 * time.Second
+	// rampFloor is the share that a new or cold upstream starts with.
+	rampFloor = 0.1
+	// typicalWeight is the share of one report in the service's typical time.
+	typicalWeight = 0.02
+)
+
+// Config describes a Picker.
+type Config struct {
+	// SelfZone is the daemon's own availability zone.
+	SelfZone string
+	// LinkCost returns the extra round trip to an availability zone; nil means
+	// none.
+	LinkCost func(zone string) time.Duration
+	// Rand draws uniform random numbers.
+	Rand func() uint64
+	// Choices is the number of candidates compared, in the own availability
+	// zone and outside it; 0 means 4.
+	Choices int
+	// Ramp is how long a new upstream's share grows; 0 means 10 s.
+	Ramp time.Duration
+}
+
+// Candidate is an upstream that the caller's selector allows.
+type Candidate struct {
+	// ID names the instance.
+	ID string
+	// Zone is its availability zone.
+	Zone string
+	// Incarnation tells instances apart that use one ID after each other.
+	Incarnation uint64
+}
+
+// Options are the operators' switches, and what the call allows.
+type Options struct {
+	// LoadAware compares predicted costs. Without it Pick goes round robin
+	// over all candidates.
+	LoadAware bool
+	// SpillOver lets a call leave the own availability zone while that has a
+	// usable candidate.
+	SpillOver bool
+	// Eject keeps calls from upstreams that fail.
+	Eject bool
+	// SlowStart gives a new upstream a share that grows.
+	SlowStart bool
+	// EjectPercent is the largest share of the candidates that is ejected.
+	// When more look bad, none is: the fault may be on this side.
+	EjectPercent int
+	// NoTrial is true for a call that must not be spent on finding out
+	// whether an ejected upstream works again.
+	NoTrial bool
+}
+
+// Picker chooses upstreams of one service. It is not safe for concurrent use.
+type Picker struct {
+	config    Config
+	upstreams map[string]*upstream
+	ejected   []string
+	typical   float64 // typical time in a slot, nanoseconds
+	first     time.Time
+	next      int
+}
+
+// New returns a Picker that knows nothing yet.
+func New(config Config) *Picker {
+	if config.Choices == 0 {
+		config.Choices = defaultChoices
+	}
+	if config.Ramp == 0 {
+		config.Ramp = defaultRamp
+	}
+	if config.LinkCost == nil {
+		config.LinkCost = func(string) time.Duration { return 0 }
+	}
+	return &Picker{config: config, upstreams: make(map[string]*upstream)}
+}
+
+// Started counts a call that leaves for the upstream.
+func (p *Picker) Started(id string, now time.Time) {
+	p.upstream(id, now).start(now)
+}
+
+// Finished counts the end of a call that was Started.
+func (p *Picker) Finished(id string, r Result, now time.Time) {
+	u, ok := p.upstreams[id]
+	if !ok {
+		return
+	}
+	u.finish(r, now)
+	if u.load.ServiceTime == 0 && !r.Failed && !r.NotRun {
+		p.learn(r.Latency)
+	}
+	if r.Cancelled || (r.NotRun && !r.Failed) {
+		return
+	}
+	if u.ejection.result(r.Failed, now) {
+		u.own.fails, u.since = 0, now
+	}
+	p.track(id, u)
+}
+
+// Heard takes a load report about the upstream. Reports may come late, twice
+// and out of order.
+func (p *Picker) Heard(id string, load Load, now time.Time) {
+	u := p.upstream(id, now)
+	u.hear(load, now.Add(-load.Age))
+	p.learn(load.ServiceTime)
+}
+
+// learn lets one service time count towards the service's typical one.
+func (p *Picker) learn(service time.Duration) {
+	if service <= 0 {
+		return
+	}
+	if p.typical == 0 {
+		p.typical = float64(service)
+	}
+	p.typical += typicalWeight * (float64(service) - p.typical)
+}
+
+// MarkDown counts a failure to connect: the call has not run.
+func (p *Picker) MarkDown(id string, now time.Time) {
+	u := p.upstream(id, now)
+	u.own.Observe(0, true, now)
+	u.ejection.eject(now)
+	p.track(id, u)
+}
+
+// Forget drops what is known about an upstream that is gone.
+func (p *Picker) Forget(id string) {
+	delete(p.upstreams, id)
+	p.untrack(id)
+}
+
+// upstream returns what is known about id, making room for it if need be.
+func (p *Picker) upstream(id string, now time.Time) *upstream {
+	u, ok := p.upstreams[id]
+	if !ok {
+		if p.first.IsZero() {
+			p.first = now
+		}
+		u = &upstream{since: now}
+		p.upstreams[id] = u
+	}
+	return u
+}
+
+// track keeps the list of ejected upstreams true.
+func (p *Picker) track(id string, u *upstream) {
+	p.untrack(id)
+	if u.ejection.active {
+		p.ejected = append(p.ejected, id)
+	}
+}
+
+func (p *Picker) untrack(id string) {
+	for i, other := range p.ejected {
+		if other == id {
+			p.ejected = append(p.ejected[:i], p.ejected[i+1:]...)
+			return
+		}
+	}
+}
