admit: slots, queue, shedding and drain at the upstream's own daemon

Cause: A can only pick on old news; the daemon beside the upstream needs one place that says start, wait or refuse, and whose refusal proves notRun.

Conclusion: priority then earliest deadline, refusal by predicted wait, and everything queued over a pause is refused.

--- /dev/null
+++ b/admit/decide.go
@@ -0,0 +1,108 @@
+package admit
+
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/call"
+)
+
+func refuse(callID string, reason call.Reason) Action {
+	return Action{Kind: Refuse, CallID: callID, Reason: reason}
+}
+
+// advance moves the Gate's time on. After a pause nothing that was queued
+// starts: its sender has long been without news, and the upstream was probably
+// paused too.
+func (g *Gate) advance(now time.Time) []Action {
+	paused := !g.seen.IsZero() && now.Sub(g.seen) > g.pauseLimit
+	if now.After(g.seen) {
+		g.seen = now
+	}
+	var actions []Action
+	for _, id := range g.queue.removeExpired(now) {
+		actions = append(actions, refuse(id, call.DeadlineExceeded))
+	}
+	if paused {
+		g.woke = now
+		actions = append(actions, g.refuseAll(call.Stale)...)
+	}
+	return actions
+}
+
+// refusal reports why a call is refused whatever the slots and the queue hold.
+func (g *Gate) refusal(req call.Request, now time.Time) (call.Reason, bool) {
+	_, running := g.running[req.ID]
+	switch {
+	case running || g.queue.has(req.ID):
+		return call.InProgress, true
+	case g.draining:
+		return call.Leaving, true
+	case expired(req, now):
+		return call.DeadlineExceeded, true
+	}
+	return "", false
+}
+
+// enqueue queues a call, or refuses it or one that is less urgent.
+func (g *Gate) enqueue(req call.Request, now time.Time) []Action {
+	if g.limits.Shed && g.late(req, now) {
+		return []Action{refuse(req.ID, call.Overloaded)}
+	}
+	var actions []Action
+	if g.queue.len() >= g.limits.Queue {
+		if !g.canEvict(req) {
+			return []Action{refuse(req.ID, call.Overloaded)}
+		}
+		actions = append(actions, refuse(g.queue.popLast().req.ID, call.Overloaded))
+	}
+	g.queue.push(req)
+	return append(actions, Action{Kind: Queue, CallID: req.ID})
+}
+
+// canEvict reports whether req may displace the last queued call. Only a
+// higher priority may; an earlier deadline alone would let equal callers
+// displace each other without end.
+func (g *Gate) canEvict(req call.Request) bool {
+	return g.limits.Shed && g.queue.len() > 0 &&
+		req.Priority.Rank() < g.queue.last().req.Priority.Rank()
+}
+
+// late reports whether the call's turn would come after its deadline.
+func (g *Gate) late(req call.Request, now time.Time) bool {
+	if req.Deadline.IsZero() {
+		return false
+	}
+	if g.limits.Slots == 0 {
+		return true
+	}
+	wait := g.wait(g.queue.ahead(req))
+	return now.Add(wait).After(req.Deadline)
+}
+
+// wait predicts how long a call waits behind the given number of queued ones.
+func (g *Gate) wait(ahead int) time.Duration {
+	return g.service.mean * time.Duration(ahead+1) / time.Duration(max(g.limits.Slots, 1))
+}
+
+func (g *Gate) start(callID string) Action {
+	g.running[callID] = false
+	return Action{Kind: Start, CallID: callID}
+}
+
+// fill starts queued calls while slots are free. advance has already removed
+// those past their deadline.
+func (g *Gate) fill() []Action {
+	var actions []Action
+	for !g.draining && len(g.running) < g.limits.Slots && g.queue.len() > 0 {
+		actions = append(actions, g.start(g.queue.popFirst().req.ID))
+	}
+	return actions
+}
+
+func (g *Gate) refuseAll(reason call.Reason) []Action {
+	var actions []Action
+	for g.queue.len() > 0 {
+		actions = append(actions, refuse(g.queue.popFirst().req.ID, reason))
+	}
+	return actions
+}
--- /dev/null
+++ b/admit/overload_test.go
@@ -0,0 +1,94 @@
+package admit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pomelodoor.example/pomelodoor/admit"
+	"pomelodoor.example/pomelodoor/call"
+)
+
+// overload drives one gate at a multiple of its capacity for a minute and
+// counts by priority the calls that ended in time, and how long the refused
+// ones waited for their refusal.
+type overload struct {
+	gate    *admit.Gate
+	rng     *rand.Rand
+	calls   map[string]call.Request
+	arrived map[string]time.Time
+	ends    map[string]time.Time
+	offered map[call.Priority]int
+	good    map[call.Priority]int
+	refused int
+	waited  time.Duration
+}
+
+func (o *overload) apply(actions []admit.Action, now time.Time) {
+	for _, a := range actions {
+		switch a.Kind {
+		case admit.Start:
+			o.ends[a.CallID] = now.Add(time.Duration(5+o.rng.IntN(10)) * time.Millisecond)
+		case admit.Refuse:
+			o.refused++
+			o.waited += now.Sub(o.arrived[a.CallID])
+		}
+	}
+}
+
+func (o *overload) run(load float64) {
+	priorities := []call.Priority{call.High, call.Normal, call.Normal, call.Low}
+	for ms := range 60000 {
+		now := at(ms)
+		for id, end := range o.ends {
+			if end.After(now) {
+				continue
+			}
+			delete(o.ends, id)
+			if !now.After(o.calls[id].Deadline) {
+				o.good[o.calls[id].Priority]++
+			}
+			o.apply(o.gate.Finish(id, 10*time.Millisecond, now), now)
+		}
+		if o.rng.Float64() < load {
+			req := request(fmt.Sprint(ms), priorities[o.rng.IntN(4)], ms+30+o.rng.IntN(70))
+			o.calls[req.ID], o.arrived[req.ID] = req, now
+			o.offered[req.Priority]++
+			o.apply(o.gate.Arrive(req, now), now)
+		}
+		o.apply(o.gate.Tick(now), now)
+	}
+}
+
+// TestOverload offers 0.9 calls/ms to a gate of 6 slots at 10 ms each, which
+// is 1.5 times what they can do.
+func TestOverload(t *testing.T) {
+	good := map[bool]map[call.Priority]float64{}
+	for _, shed := range []bool{false, true} {
+		o := &overload{
+			gate: admit.New(admit.Config{Slots: 6, Queue: 48, Shed: shed}), rng: rand.New(rand.NewPCG(1, 2)),
+			calls: map[string]call.Request{}, arrived: map[string]time.Time{}, ends: map[string]time.Time{},
+			offered: map[call.Priority]int{}, good: map[call.Priority]int{},
+		}
+		o.run(0.9)
+		good[shed] = map[call.Priority]float64{}
+		for _, p := range []call.Priority{call.High, call.Normal, call.Low} {
+			good[shed][p] = float64(o.good[p]) / float64(o.offered[p])
+		}
+		t.Logf("shed %-5v in time: high %.3f normal %.3f low %.3f; refused %d after %v on average", shed,
+			good[shed][call.High], good[shed][call.Normal], good[shed][call.Low], o.refused, o.waited/time.Duration(o.refused))
+	}
+	if good[true][call.High] < 0.99 || good[true][call.High] <= good[false][call.High] {
+		t.Errorf("shedding serves %.3f of high priority in time", good[true][call.High])
+	}
+}
+
+func BenchmarkGate(b *testing.B) {
+	g := full(true, 48)
+	req := request("a", call.Normal, 1<<30)
+	for b.Loop() {
+		g.Arrive(req, epoch)
+		g.Leave("a", epoch)
+	}
+}
