--- /dev/null
+++ b/exchange/do.go
@@ -0,0 +1,155 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HeldBytes is the longest answer that Do reads whole before it returns. A
+// longer one, or one of unknown length, is streamed.
+const HeldBytes = 64 << 10
+
+// maxInterim bounds the heads read for one answer.
+const maxInterim = 4
+
+var errInterim = errors.New("too many interim answers")
+
+// Do sends req once and reads the answer into resp. It returns an error that
+// wraps ErrNotSent, ErrLost or ErrBodySource. When the answer is longer than
+// HeldBytes, resp holds a stream: the connection is given back when the stream
+// has been read to its end, and closed when resp.CloseBodyStream comes first.
+// The context's end closes the connection, also under such a stream.
+func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	c, err := p.get(ctx)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	stop := watch(ctx, c)
+	err = p.send(c, req)
+	if err == nil {
+		err = p.receive(c, req, resp, stop)
+	}
+	if err != nil {
+		stop()
+		p.discard(c)
+		return withCause(ctx, err)
+	}
+	return nil
+}
+
+// watch ends every read and write on the connection when ctx ends. The function
+// it returns stops that, and reports whether ctx had not ended.
+func watch(ctx context.Context, c *conn) func() bool {
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(deadline)
+	}
+	return context.AfterFunc(ctx, func() {
+		_ = c.SetDeadline(time.Unix(1, 0))
+	})
+}
+
+// send writes the request. A body that fails at its source is told apart from
+// a connection that fails.
+func (p *Pool) send(c *conn, req *fasthttp.Request) error {
+	source, _ := req.BodyStream().(*Source)
+	err := req.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	if err == nil {
+		return nil
+	}
+	sent := ErrNotSent
+	if c.wrote {
+		sent = ErrLost
+	}
+	if source != nil && source.err != nil {
+		return fmt.Errorf("%w: %w: %w", ErrBodySource, sent, source.err)
+	}
+	return fmt.Errorf("%w while writing: %w", sent, err)
+}
+
+// receive reads the answer: whole when it is short, else as a stream.
+func (p *Pool) receive(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool) error {
+	if err := readHead(c, resp); err != nil {
+		return fmt.Errorf("%w while reading the head: %w", ErrLost, err)
+	}
+	keep := !resp.ConnectionClose() && !req.ConnectionClose()
+	if hasNoBody(req, resp) {
+		resp.SkipBody = true
+		p.finish(c, stop, keep)
+		return nil
+	}
+	length := resp.Header.ContentLength()
+	if length < 0 || length > HeldBytes {
+		return p.stream(c, resp, length, stop, keep)
+	}
+	if err := resp.ReadBody(c.reader, 0); err != nil {
+		return fmt.Errorf("%w while reading the body: %w", ErrLost, err)
+	}
+	p.finish(c, stop, keep)
+	return nil
+}
+
+// readHead reads the head of the answer and passes over interim ones.
+func readHead(c *conn, resp *fasthttp.Response) error {
+	for range maxInterim {
+		if err := resp.Header.Read(c.reader); err != nil {
+			return fmt.Errorf("read head: %w", err)
+		}
+		if resp.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return errInterim
+}
+
+// hasNoBody follows RFC 9112, section 6.3.
+func hasNoBody(req *fasthttp.Request, resp *fasthttp.Response) bool {
+	status := resp.StatusCode()
+	return req.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// stream leaves the body on the connection for the reader of resp. A second
+// response does the decoding, since setting a stream on resp drops its own.
+func (p *Pool) stream(c *conn, resp *fasthttp.Response, length int, stop func() bool, keep bool) error {
+	inner := fasthttp.AcquireResponse()
+	inner.StreamBody = true
+	resp.Header.CopyTo(&inner.Header)
+	if err := inner.ReadBody(c.reader, 0); err != nil {
+		fasthttp.ReleaseResponse(inner)
+		return fmt.Errorf("%w while opening the body: %w", ErrLost, err)
+	}
+	done := func(whole bool) { p.finish(c, stop, keep && whole) }
+	if length < -1 {
+		// The body ends with the connection; it travels on in chunks.
+		length = -1
+	}
+	resp.SetBodyStream(&answerStream{inner: inner, done: done}, length)
+	return nil
+}
+
+// finish gives the connection back, or closes it.
+func (p *Pool) finish(c *conn, stop func() bool, keep bool) {
+	if stop() && keep {
+		p.put(c)
+		return
+	}
+	p.discard(c)
+}
+
+// withCause adds the context's own error, so that a caller can tell a passed
+// deadline and a cancellation from a broken connection.
+func withCause(ctx context.Context, err error) error {
+	if cause := ctx.Err(); cause != nil {
+		return fmt.Errorf("%w: %w", err, cause)
+	}
+	return err
+}
--- /dev/null
+++ b/exchange/quiet_linux.go
@@ -0,0 +1,26 @@
+package exchange
+
+import (
+	"net"
+	"syscall"
+)
+
+// quiet reports whether the socket is open and has no unread byte, without
+// waiting and without taking a byte off it.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	var one [1]byte
+	err = raw.Control(func(fd uintptr) {
+		_, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = recvErr == syscall.EAGAIN
+	})
+	return err == nil && open
+}
