standin: platform and worker for tests

The path needs outside systems that fail on demand, without a network. The platform serves documents and a lagging instance list by long poll, counts every read and can go stale or away; the worker has slots, jitter, drain, cold start, fast failure and crash, and records each request it ran, so that a history can be checked against what really happened. A request cut short or queued in a crash does not count as run.

--- /dev/null
+++ b/standin/listener.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// ErrNotLoopback is returned for an address that other machines could reach.
+var ErrNotLoopback = errors.New("address is not on loopback")
+
+// anyPort is the address that lets the system choose a free loopback port.
+const anyPort = "127.0.0.1:0"
+
+// listener accepts loopback connections and remembers them, so that closing it
+// closes them too, as the end of a process would.
+type listener struct {
+	net.Listener
+	openTime time.Duration
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// conn delays its first read by the time that opening a connection takes.
+type conn struct {
+	net.Conn
+	owner *listener
+	wait  time.Duration
+}
+
+// listen opens a loopback listener. An empty address means any free port.
+func listen(addr string, openTime time.Duration) (*listener, error) {
+	if addr == "" {
+		addr = anyPort
+	}
+	if err := checkLoopback(addr); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	return &listener{Listener: l, openTime: openTime, conns: make(map[*conn]struct{})}, nil
+}
+
+// checkLoopback returns ErrNotLoopback unless addr names a loopback IP.
+func checkLoopback(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("address %q: %w", addr, err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("address %q: %w", addr, ErrNotLoopback)
+	}
+	return nil
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &conn{Conn: c, owner: l, wait: l.openTime}
+	l.mu.Lock()
+	l.conns[tracked] = struct{}{}
+	l.mu.Unlock()
+	return tracked, nil
+}
+
+// kill closes the listener and resets every open connection.
+func (l *listener) kill() {
+	_ = l.Close()
+	l.mu.Lock()
+	open := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Read waits out the opening time once, then reads.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.wait > 0 {
+		time.Sleep(c.wait)
+		c.wait = 0
+	}
+	return c.Conn.Read(p)
+}
+
+// Close closes the connection and forgets it.
+func (c *conn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/worker_test.go
@@ -0,0 +1,218 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+func newTestWorker(t *testing.T, cfg WorkerConfig) *Worker {
+	t.Helper()
+	w, err := NewWorker(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	return w
+}
+
+// send sends one request of a token with a body and returns the answer's
+// status and the verdict on it.
+func send(w *Worker, token, body string, answer int, header ...string) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + w.Addr() + "/orders")
+	req.Header.SetMethod("POST")
+	req.Header.Set(headerToken, token)
+	req.Header.Set(headerAnswerBytes, fmt.Sprint(answer))
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	req.SetBodyString(body)
+	client := fasthttp.HostClient{Addr: w.Addr(), MaxIdemponentCallAttempts: 1}
+	if err := client.DoTimeout(req, resp, 5*time.Second); err != nil {
+		return 0, err
+	}
+	sum, _, _ := sumOf(strings.NewReader(body))
+	got := string(resp.Header.Peek(headerAnswerSum))
+	return resp.StatusCode(), checkAnswer(resp.Body(), got, token, sum, answer)
+}
+
+func TestWorkerAnswersVerifiably(t *testing.T) {
+	w := newTestWorker(t, WorkerConfig{ID: "w"})
+	tests := map[string]struct {
+		body   string
+		answer int
+	}{
+		"empty":        {},
+		"small":        {body: "hello", answer: 100},
+		"large answer": {body: "x", answer: 3 << 20},
+		"large body":   {body: strings.Repeat("photo", 1<<20), answer: 10},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			code, err := send(w, "token-"+name[:5], tt.body, tt.answer, "Idempotency-Key", "k1", "Pomelodoor-Call", "c1")
+			if code != 200 || err != nil {
+				t.Fatalf("%d %v", code, err)
+			}
+			all := w.Executions()
+			e := all[len(all)-1]
+			if e.Key != "k1" || e.Call != "c1" || e.Bytes != int64(len(tt.body)) || !e.Ran() || e.EndUs < e.StartUs {
+				t.Errorf("recorded %+v", e)
+			}
+		})
+	}
+}
+
+func TestCheckAnswerFindsFaults(t *testing.T) {
+	sum, _, _ := sumOf(strings.NewReader("body"))
+	good := make([]byte, answerSize("t", sum, 50))
+	r := answerBody("t", sum, 50)
+	for n := 0; n < len(good); {
+		k, _ := r.Read(good[n:])
+		n += k
+	}
+	goodSum, _, _ := sumOf(strings.NewReader(string(good)))
+	flipped := append([]byte(nil), good...)
+	flipped[len(flipped)-1] ^= 1
+	tests := map[string]struct {
+		body    []byte
+		sum     string
+		token   string
+		bodySum string
+		n       int
+		fine    bool
+	}{
+		"own":          {good, goodSum, "t", sum, 50, true},
+		"other token":  {good, goodSum, "u", sum, 50, false},
+		"other body":   {good, goodSum, "t", "0", 50, false},
+		"cut short":    {good[:60], goodSum, "t", sum, 50, false},
+		"flipped byte": {flipped, goodSum, "t", sum, 50, false},
+		"other length": {good, goodSum, "t", sum, 51, false},
+		"no line":      {nil, goodSum, "t", sum, 50, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := checkAnswer(tt.body, tt.sum, tt.token, tt.bodySum, tt.n)
+			if (err == nil) != tt.fine {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+func TestWorkerSlotsQueueInOrder(t *testing.T) {
+	w := newTestWorker(t, WorkerConfig{Slots: 2, ServiceTime: 20 * time.Millisecond})
+	start := time.Now()
+	var done sync.WaitGroup
+	for i := range 10 {
+		done.Go(func() {
+			if code, err := send(w, fmt.Sprintf("t%d", i), "", 0); code != 200 || err != nil {
+				t.Errorf("%d %v", code, err)
+			}
+		})
+	}
+	time.Sleep(15 * time.Millisecond)
+	if load := w.loadNow(time.Now()); load.InFlight < 8 || load.Slots != 2 {
+		t.Errorf("load %+v", load)
+	}
+	done.Wait()
+	if took := time.Since(start); took < 60*time.Millisecond {
+		t.Errorf("ten requests over two slots of 20 ms took %v", took)
+	}
+}
+
+func TestWorkerModes(t *testing.T) {
+	w := newTestWorker(t, WorkerConfig{ServiceTime: 5 * time.Millisecond, ColdTime: time.Minute})
+	timed := func() (int, time.Duration) {
+		start := time.Now()
+		code, _ := send(w, "t", "", 0)
+		return code, time.Since(start)
+	}
+	set := func(query string) { do(t, "POST", w.AdminAddr(), "/admin/set?"+query, "") }
+	set("factor=20")
+	if _, took := timed(); took < 20*time.Millisecond {
+		t.Errorf("slow worker took %v", took)
+	}
+	set("factor=1&failFast=on")
+	if code, _ := timed(); code != 500 {
+		t.Errorf("failing fast answered %d", code)
+	}
+	set("failFast=off&cold=on")
+	if load := w.loadNow(time.Now()); load.State != Cold {
+		t.Errorf("cold worker reports %s", load.State)
+	}
+	if f, _ := w.slowness(time.Now()); f < 9 {
+		t.Errorf("cold worker is slow by %v", f)
+	}
+	set("cold=off&drain=on")
+	_, body := get(t, w.Addr(), "/load")
+	var load Load
+	decode(t, body, &load)
+	if load.State != Draining {
+		t.Errorf("draining worker reports %s", body)
+	}
+}
+
+func TestWorkerCrashEndsAllAndRestarts(t *testing.T) {
+	w := newTestWorker(t, WorkerConfig{Slots: 1, ServiceTime: 100 * time.Millisecond, Restart: 300 * time.Millisecond})
+	var done sync.WaitGroup
+	for i := range 3 {
+		done.Go(func() {
+			if _, err := send(w, fmt.Sprintf("t%d", i), "", 0); err == nil {
+				t.Error("answer from a crashed worker")
+			}
+		})
+	}
+	time.Sleep(30 * time.Millisecond)
+	w.Crash()
+	done.Wait()
+	if _, err := send(w, "t", "", 0); err == nil {
+		t.Error("crashed worker takes connections")
+	}
+	time.Sleep(600 * time.Millisecond)
+	if n := len(w.Executions()); n != 1 {
+		t.Errorf("%d requests ran, want the one that held the slot", n)
+	}
+	if code, err := send(w, "t9", "", 0); code != 200 || err != nil {
+		t.Errorf("after restart: %d %v", code, err)
+	}
+	if _, err := send(w, "bad", "", 0, headerCrash, "1"); err == nil {
+		t.Error("answer to the request that crashes")
+	}
+	if w.Crashes() != 2 {
+		t.Errorf("%d crashes", w.Crashes())
+	}
+}
+
+func TestWorkerShortBodyDoesNotRun(t *testing.T) {
+	w := newTestWorker(t, WorkerConfig{})
+	for name, head := range map[string]string{
+		"length":  "Content-Length: 100\r\n\r\nhalf",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n64\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", w.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = fmt.Fprintf(c, "POST /o HTTP/1.1\r\nHost: x\r\nX-Token: %s\r\n%s", name, head)
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).CloseWrite()
+			_, _ = bufio.NewReader(c).ReadString('\n')
+			_ = c.Close()
+			for _, e := range w.Executions() {
+				if e.Token == name && e.Ran() {
+					t.Errorf("ran: %+v", e)
+				}
+			}
+		})
+	}
+}
