membership: who is live, leaving and gone

Tested as tables, as rapid properties over four views joined by undelivered records and a stale list, with a planted fault, and for connectivity of the overlay at 2,800 instances with a zone and a rack gone.

--- /dev/null
+++ b/membership/overlay.go
@@ -0,0 +1,160 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The number of neighbours that a daemon keeps, by where they are. A random
+// graph of this degree stays connected with a zone gone (Bollobás, "Random
+// Graphs", 2001).
+const (
+	neighboursInZone   = 4
+	neighboursInRegion = 2
+	neighboursElse     = 2
+	neighboursTotal    = neighboursInZone + neighboursInRegion + neighboursElse
+)
+
+// overlay holds what is worked out from all live instances, at a generation.
+type overlay struct {
+	generation uint64
+	neighbours []Record
+	live       int
+	zones      int
+	// rank is this daemon's place among the live ones of its zone.
+	rank int
+}
+
+// place names an availability zone; two regions may use one zone name.
+type place struct {
+	region, zone string
+}
+
+func (r Record) place() place { return place{r.Region, r.AvailabilityZone} }
+
+// candidate is a live instance with its weight as seen by this daemon.
+type candidate struct {
+	*member
+	weight uint64
+}
+
+// mix joins two hashes by the finalizer of SplitMix64 (Steele, Lea and Flood,
+// 2014).
+func mix(a, b uint64) uint64 {
+	x := a + b*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Neighbours returns the live instances that this daemon keeps in touch with,
+// chosen by rendezvous hashing (Thaler and Ravishankar, 1998) of the pair: four
+// in its zone, two in other zones of its region and two in other regions. Where
+// there are fewer of one kind, others take their places. The slice is shared.
+func (v *View) Neighbours() []Record { return v.refresh().neighbours }
+
+// LiveCount returns the number of live instances, this one included.
+func (v *View) LiveCount() int { return v.refresh().live }
+
+// ZoneCount returns the number of availability zones with live instances.
+func (v *View) ZoneCount() int { return v.refresh().zones }
+
+// Reader reports whether this daemon is among the perZone instances of its
+// zone that read the platform, by rendezvous hashing on the live instances.
+func (v *View) Reader(perZone int) bool {
+	return v.Self().State == Live && v.refresh().rank < perZone
+}
+
+// Siblings returns at most k other live instances of this daemon's service,
+// by rendezvous hashing, so that large services stay cheap.
+func (v *View) Siblings(k int) []Record {
+	self := v.self()
+	heaviest := make(candidates, 0, k+1)
+	for _, m := range v.groups[self.Service].members {
+		if m.State == Live && m != self {
+			heaviest.add(candidate{m, mix(self.hash, m.hash)}, k)
+		}
+	}
+	return heaviest.records()
+}
+
+func (v *View) refresh() *overlay {
+	if v.overlay.generation == v.generation {
+		return &v.overlay
+	}
+	v.overlay = v.workOut()
+	return &v.overlay
+}
+
+func (v *View) workOut() overlay {
+	self := v.self()
+	zone := mix(xxhash.Sum64String(self.Region), xxhash.Sum64String(self.AvailabilityZone))
+	own := mix(zone, self.hash)
+	o := overlay{generation: v.generation}
+	zones := map[place]bool{}
+	var inZone, inRegion, elsewhere candidates
+	for _, m := range v.members {
+		if m.State != Live {
+			continue
+		}
+		o.live++
+		zones[m.place()] = true
+		if m == self {
+			continue
+		}
+		c := candidate{m, mix(self.hash, m.hash)}
+		switch {
+		case m.place() == self.place():
+			inZone.add(c, neighboursTotal)
+			if mix(zone, m.hash) > own {
+				o.rank++
+			}
+		case m.Region == self.Region:
+			inRegion.add(c, neighboursTotal)
+		default:
+			elsewhere.add(c, neighboursTotal)
+		}
+	}
+	o.zones = len(zones)
+	o.neighbours = chooseNeighbours(inZone, inRegion, elsewhere).records()
+	return o
+}
+
+// chooseNeighbours takes the heaviest of each kind and fills up from the rest.
+func chooseNeighbours(inZone, inRegion, elsewhere candidates) candidates {
+	zone := min(len(inZone), neighboursInZone)
+	region := min(len(inRegion), neighboursInRegion)
+	other := min(len(elsewhere), neighboursElse)
+	chosen := slices.Concat(inZone[:zone], inRegion[:region], elsewhere[:other])
+	rest := slices.Concat(inZone[zone:], inRegion[region:], elsewhere[other:])
+	return append(chosen, rest[:min(len(rest), neighboursTotal-len(chosen))]...)
+}
+
+// candidates are kept in falling order of weight.
+type candidates []candidate
+
+func after(a, b candidate) bool {
+	return a.weight < b.weight || a.weight == b.weight && a.ID > b.ID
+}
+
+// add keeps c if it is among the k heaviest.
+func (list *candidates) add(c candidate, k int) {
+	kept := *list
+	if len(kept) >= k && (k == 0 || after(c, kept[k-1])) {
+		return
+	}
+	kept = append(kept, c)
+	for i := len(kept) - 1; i > 0 && after(kept[i-1], kept[i]); i-- {
+		kept[i-1], kept[i] = kept[i], kept[i-1]
+	}
+	*list = kept[:min(len(kept), k)]
+}
+
+func (list candidates) records() []Record {
+	records := make([]Record, len(list))
+	for i, c := range list {
+		records[i] = c.Record
+	}
+	return records
+}
