config: operators' documents, their order and the set in force

Cause: switches, labels, selectors and limits must mean the same at every daemon, and an accepted switch-off must never revert.

Documents are read into a tree with lines first, so that all faults are told at once with line and path; decoding straight into structs was ruled out, since encoding/json stops at the first fault, takes names in any case and keeps the last of two equal names.

--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,150 @@
+package config
+
+import (
+	"bytes"
+	"strings"
+)
+
+// MaxBytes bounds a document, because each one travels to every daemon.
+const MaxBytes = 64 << 10
+
+// maxRevision is the largest whole number that every JSON tool keeps exact.
+const maxRevision = 1<<53 - 1
+
+// KeySwitches is the key of the switches document.
+const KeySwitches = "switches"
+
+const servicePrefix = "services/"
+
+// KeyService returns the key of the document of the service name.
+func KeyService(name string) string { return servicePrefix + name }
+
+// CheckKey reports whether key is one that a document can have.
+func CheckKey(key string) bool {
+	name, ok := strings.CutPrefix(key, servicePrefix)
+	return key == KeySwitches || ok && checkService(name) == ""
+}
+
+// Kind says what a document declares.
+type Kind string
+
+// The kinds of documents.
+const (
+	KindService  Kind = "service"
+	KindSwitches Kind = "switches"
+)
+
+// Document is one accepted document. It does not change after Parse, so that
+// goroutines may share it. The zero value is no document.
+type Document struct {
+	key      string
+	kind     Kind
+	revision uint64
+	digest   string
+	raw      []byte
+	service  *Service
+	switches *Switches
+}
+
+// Key returns "switches" or "services/NAME".
+func (d Document) Key() string { return d.key }
+
+// Kind returns what the document declares.
+func (d Document) Kind() Kind { return d.kind }
+
+// Revision returns the number that the operator wrote, 1 or more.
+func (d Document) Revision() uint64 { return d.revision }
+
+// Digest returns 16 hex digits of xxHash64 over the canonical form. Two
+// documents with one digest declare the same.
+func (d Document) Digest() string { return d.digest }
+
+// Bytes returns the document as it was read. The caller must not change them.
+func (d Document) Bytes() []byte { return d.raw }
+
+// Service returns what a service document declares, or nil.
+func (d Document) Service() *Service { return d.service }
+
+// Switches returns what a switches document declares, or nil.
+func (d Document) Switches() *Switches { return d.switches }
+
+// Parse reads one document. The error is an InvalidError with every fault that
+// was found; file is only used to name the place of a fault.
+func Parse(file string, data []byte) (Document, error) {
+	return parse(file, "", data)
+}
+
+// ParseKey is Parse for a document that was found under key, and refuses one
+// that belongs under another key.
+func ParseKey(file, key string, data []byte) (Document, error) {
+	return parse(file, key, data)
+}
+
+func parse(file, key string, data []byte) (Document, error) {
+	r := &reader{file: file}
+	if len(data) > MaxBytes {
+		r.fault(1, "", "has %d bytes, at most %d are allowed", len(data), MaxBytes)
+		return Document{}, r.err(0)
+	}
+	root, syntax := parseTree(data)
+	if syntax != nil {
+		r.fault(syntax.line, "", "%s", syntax.text)
+		return Document{}, r.err(0)
+	}
+	if !r.is(root, "", objectNode) {
+		return Document{}, r.err(0)
+	}
+	d := r.document(root)
+	if key != "" && d.key != "" && d.key != key {
+		r.fault(root.line, "", "belongs under the key %s, found under %s", d.key, clip(key))
+	}
+	if err := r.err(d.revision); err != nil {
+		return Document{}, err
+	}
+	d.digest = digest(root)
+	d.raw = bytes.Clone(data)
+	return d, nil
+}
+
+// document reads the root object by its kind.
+func (r *reader) document(root *node) Document {
+	o := object{r: r, node: root}
+	d := Document{kind: Kind(o.text("kind", checkKind))}
+	switch d.kind {
+	case KindSwitches:
+		d.switches = r.switches(root)
+		d.key = KeySwitches
+	case KindService:
+		d.service = r.service(root)
+		d.key = KeyService(d.service.name)
+	}
+	if _, ok := o.field("revision"); !ok {
+		r.fault(root.line, "revision", "is missing")
+	}
+	d.revision = o.whole("revision", 1, maxRevision, 0)
+	return d
+}
+
+func checkKind(text string) string {
+	if text == string(KindService) || text == string(KindSwitches) {
+		return ""
+	}
+	return "is no kind, want service or switches"
+}
+
+// Newer reports whether a is in force in place of b, a document of the same
+// key. The higher revision is. Where two operators used one revision it is the
+// switches document that allows fewer actions, and then the higher digest: any
+// fixed order will do for services, if only all daemons use the same.
+func Newer(a, b Document) bool {
+	if a.revision != b.revision {
+		return a.revision > b.revision
+	}
+	if a.switches != nil && b.switches != nil {
+		x, y := a.switches.count(), b.switches.count()
+		if x != y {
+			return x < y
+		}
+	}
+	return a.digest > b.digest
+}
--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,52 @@
+package config_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"pomelodoor.example/pomelodoor/config"
+)
+
+// FuzzParse checks that Parse never panics, that an error lists faults with
+// lines of the document, and that an accepted document can be used, sent on
+// and read again with the same meaning.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(faultsDocument))
+	f.Add([]byte(switches(7, `,"allOff":false,"allow":["retry","eject"]`)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := config.Parse("f.json", data)
+		if err != nil {
+			checkFaults(t, data, err)
+			return
+		}
+		var compact bytes.Buffer
+		if err := json.Compact(&compact, d.Bytes()); err != nil {
+			t.Fatal(err)
+		}
+		again, err := config.ParseKey("f.json", d.Key(), compact.Bytes())
+		if err != nil || again.Digest() != d.Digest() || again.Revision() != d.Revision() {
+			t.Fatalf("read again: %v, %s, want %s", err, again.Digest(), d.Digest())
+		}
+		if !config.CheckKey(d.Key()) || d.Revision() < 1 || len(d.Digest()) != 16 {
+			t.Fatalf("key %q, revision %d, digest %s", d.Key(), d.Revision(), d.Digest())
+		}
+		if svc := d.Service(); svc != nil {
+			_ = config.Explain(svc, "desk", config.Candidate{Instance: "faults-1", AvailabilityZone: "a"}).String()
+		}
+	})
+}
+
+func checkFaults(t *testing.T, data []byte, err error) {
+	var invalid *config.InvalidError
+	if !errors.As(err, &invalid) || !errors.Is(err, config.ErrInvalid) || len(invalid.Faults()) == 0 {
+		t.Fatalf("error %v has no faults", err)
+	}
+	lines := 1 + bytes.Count(data, []byte("\n"))
+	for _, fault := range invalid.Faults() {
+		if fault.File != "f.json" || fault.Line < 1 || fault.Line > lines || fault.Field == "" || fault.Text == "" {
+			t.Fatalf("fault %+v of %d lines", fault, lines)
+		}
+	}
+}
