burn: error budgets by service over four windows

Cause: the users ask for a report on service-level burn, from many daemons that keep nothing and come and go.

One ring of 360 one-minute counts serves all windows. Reports carry counts, so that Merge adds counts and not rates. A 30-minute window stands beside the three that were asked for, since the workbook pairs it with the 6-hour one.

A clock set back by more than the ring drops the counts: a property test showed that putting such calls into the newest minute mixes two times.

--- /dev/null
+++ b/burn/burn_test.go
@@ -0,0 +1,227 @@
+package burn_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+	"pomelodoor.example/pomelodoor/burn"
+	"pomelodoor.example/pomelodoor/config"
+)
+
+var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+// calls are n calls that all end at one moment.
+type calls struct {
+	at     time.Duration // after start
+	n      int
+	failed int
+	slow   int
+}
+
+func record(b *burn.Burn, service string, all ...calls) {
+	for _, c := range all {
+		for i := range c.n {
+			took := 10 * time.Millisecond
+			if i >= c.failed && i < c.failed+c.slow {
+				took = time.Second
+			}
+			b.Record(service, i >= c.failed, took, start.Add(c.at))
+		}
+	}
+}
+
+func TestReport(t *testing.T) {
+	tests := map[string]struct {
+		calls   []calls
+		at      time.Duration
+		rates   string // of failed calls, in the order of Windows
+		latency string
+		alert   burn.Alert
+		slow    burn.Alert
+	}{
+		"all well":             {[]calls{{0, 1000, 0, 0}}, 0, "0.0 0.0 0.0 0.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"as allowed":           {[]calls{{0, 10000, 10, 0}}, 0, "1.0 1.0 1.0 1.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"fast":                 {[]calls{{0, 1000, 20, 0}}, 0, "20.0 20.0 20.0 20.0", "0.0 0.0 0.0 0.0", burn.Fast, burn.None},
+		"below fast":           {[]calls{{0, 1000, 14, 0}}, 0, "14.0 14.0 14.0 14.0", "0.0 0.0 0.0 0.0", burn.Slow, burn.None},
+		"few calls":            {[]calls{{0, 100, 4, 0}}, 0, "40.0 40.0 40.0 40.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"short burst":          {[]calls{{0, 10000, 0, 0}, {50 * time.Minute, 1000, 50, 0}}, 52 * time.Minute, "50.0 50.0 4.5 4.5", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"long past":            {[]calls{{0, 1000, 500, 0}, {70 * time.Minute, 1000, 0, 0}}, 70 * time.Minute, "0.0 0.0 0.0 250.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"slow answers":         {[]calls{{0, 1000, 0, 200}}, 0, "0.0 0.0 0.0 0.0", "20.0 20.0 20.0 20.0", burn.None, burn.Fast},
+		"latency of answers":   {[]calls{{0, 1000, 500, 5}}, 0, "500.0 500.0 500.0 500.0", "1.0 1.0 1.0 1.0", burn.Fast, burn.None},
+		"window edge":          {[]calls{{0, 100, 1, 0}, {5 * time.Minute, 100, 0, 0}}, 5 * time.Minute, "0.0 5.0 5.0 5.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"ring edge":            {[]calls{{0, 100, 1, 0}, {6 * time.Hour, 100, 0, 0}}, 6 * time.Hour, "0.0 0.0 0.0 0.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"ring kept":            {[]calls{{0, 100, 1, 0}, {359 * time.Minute, 100, 0, 0}}, 359 * time.Minute, "0.0 0.0 0.0 5.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"long pause":           {[]calls{{0, 100, 100, 0}, {30 * time.Hour, 100, 0, 0}}, 30 * time.Hour, "0.0 0.0 0.0 0.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"clock set back":       {[]calls{{10 * time.Minute, 100, 0, 0}, {0, 100, 1, 0}}, 10 * time.Minute, "0.0 5.0 5.0 5.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"clock set far back":   {[]calls{{0, 100, 0, 0}, {-48 * time.Hour, 100, 1, 0}}, -48 * time.Hour, "10.0 10.0 10.0 10.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"report before a call": {[]calls{{0, 100, 0, 0}, {10 * time.Minute, 100, 1, 0}}, 0, "0.0 0.0 0.0 0.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := burn.New(burn.Config{Instance: "faults-1"})
+			record(b, "faults", tt.calls...)
+			s := b.Report(start.Add(tt.at)).Services[0]
+			var rates, latency []string
+			for _, c := range s.Windows {
+				rates = append(rates, fmt.Sprintf("%.1f", c.BurnRate))
+				latency = append(latency, fmt.Sprintf("%.1f", c.LatencyBurnRate))
+			}
+			if got := fmt.Sprint(rates); got != "["+tt.rates+"]" {
+				t.Errorf("burn rates %s, want %s", got, tt.rates)
+			}
+			if got := fmt.Sprint(latency); got != "["+tt.latency+"]" {
+				t.Errorf("latency burn rates %s, want %s", got, tt.latency)
+			}
+			if s.Alert != tt.alert || s.LatencyAlert != tt.slow {
+				t.Errorf("alerts %s and %s", s.Alert, s.LatencyAlert)
+			}
+		})
+	}
+}
+
+func TestLevelOfService(t *testing.T) {
+	d, err := config.Parse("test.json", []byte(`{"kind":"service","revision":1,"service":"orders",
+		"serviceLevel":{"availability":90,"latencyMs":5,"latencyPercent":50}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	level := func(service string) (config.Level, bool) { return d.Service().Level(), service == "orders" }
+	b := burn.New(burn.Config{Level: level})
+	record(b, "orders", calls{n: 100, failed: 20})
+	record(b, "faults", calls{n: 100})
+	r := b.Report(start)
+	faults, orders := r.Services[0], r.Services[1]
+	if c := orders.Windows[0]; c.Slow != 80 || c.LatencyBurnRate != 2 || fmt.Sprintf("%.3f", c.BudgetLeft) != "-1.000" {
+		t.Errorf("orders %+v", c)
+	}
+	if c := faults.Windows[0]; c.Slow != 0 || c.BudgetLeft != 1 || faults.Level.Availability != 99.9 {
+		t.Errorf("faults %+v", faults)
+	}
+	if only := b.Report(start, "orders"); len(only.Services) != 1 || only.Services[0].Name != "orders" {
+		t.Errorf("report of one service %+v", only)
+	}
+}
+
+func TestTable(t *testing.T) {
+	b := burn.New(burn.Config{Instance: "faults-1"})
+	record(b, "faults", calls{n: 1000})
+	record(b, "orders", calls{n: 1000, failed: 20, slow: 1})
+	want := `1 daemons at 2026-12-04T12:00:00Z, counting since 2026-12-04T12:00:00Z, 0 calls dropped
+service  alert  latency alert  calls 6h  failed 6h  slow 6h  burn 5m 30m 1h 6h    latency burn 5m 30m 1h 6h  left 6h  latency left 6h
+orders   fast   none           1000      20         1        20.0 20.0 20.0 20.0  0.1 0.1 0.1 0.1            -1900%   90%
+faults   none   none           1000      0          0        0.0 0.0 0.0 0.0      0.0 0.0 0.0 0.0            100%     100%
+`
+	if got := b.Report(start).String(); got != want {
+		t.Errorf("got\n%s", got)
+	}
+}
+
+func TestServicesAreBounded(t *testing.T) {
+	b := burn.New(burn.Config{MaxServices: 2})
+	record(b, "a", calls{n: 1})
+	record(b, "b", calls{at: time.Hour, n: 1})
+	record(b, "c", calls{at: 2 * time.Hour, n: 3})
+	if r := b.Report(start.Add(2 * time.Hour)); r.Dropped != 3 || b.Services() != 2 {
+		t.Errorf("dropped %d, services %d", r.Dropped, b.Services())
+	}
+	record(b, "c", calls{at: 6 * time.Hour, n: 1}) // a had its last call 6 h ago
+	r := b.Report(start.Add(6 * time.Hour))
+	if len(r.Services) != 2 || r.Services[0].Name != "b" || r.Services[1].Name != "c" {
+		t.Errorf("services %+v", r.Services)
+	}
+}
+
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := burn.New(burn.Config{})
+		daemons := make([]*burn.Burn, rapid.IntRange(1, 5).Draw(t, "daemons"))
+		for i := range daemons {
+			daemons[i] = burn.New(burn.Config{Instance: fmt.Sprint("faults-", i)})
+		}
+		minutes := rapid.SliceOfN(rapid.IntRange(0, 400), 1, 60).Draw(t, "minutes")
+		slices.Sort(minutes)
+		for _, minute := range minutes {
+			name := rapid.SampledFrom([]string{"faults", "orders", "images"}).Draw(t, "service")
+			ok := rapid.Bool().Draw(t, "ok")
+			took := time.Duration(rapid.IntRange(0, 1000).Draw(t, "took")) * time.Millisecond
+			now := start.Add(time.Duration(minute) * time.Minute)
+			rapid.SampledFrom(daemons).Draw(t, "daemon").Record(name, ok, took, now)
+			whole.Record(name, ok, took, now)
+		}
+		var reports []burn.Report
+		for _, b := range daemons {
+			reports = append(reports, b.Report(start.Add(400*time.Minute)))
+		}
+		want := whole.Report(start.Add(400 * time.Minute))
+		got := burn.Merge(rapid.Permutation(append(reports, reports[0])).Draw(t, "order")...)
+		if !reflect.DeepEqual(got.Services, want.Services) || !got.Since.Equal(want.Since) || got.Daemons != len(reports) {
+			t.Fatalf("got %+v\nwant %+v", got, want)
+		}
+		tree := burn.Merge(burn.Merge(reports[:1]...), burn.Merge(reports[1:]...))
+		if !reflect.DeepEqual(tree.Services, want.Services) {
+			t.Fatalf("merged by parts %+v\nwant %+v", tree, want)
+		}
+		data, err := json.Marshal(got)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again burn.Report
+		if err := json.Unmarshal(data, &again); err != nil || !reflect.DeepEqual(again.Services, got.Services) {
+			t.Fatalf("after JSON %+v, %v", again, err)
+		}
+	})
+}
+
+// fill records a minute of calls for 460 services over 6 hours.
+func fill() *burn.Burn {
+	b := burn.New(burn.Config{Instance: "faults-1"})
+	for minute := range 400 {
+		for i := range 460 {
+			b.Record(fmt.Sprintf("svc%03d", i), minute%7 != 0, time.Second, start.Add(time.Duration(minute)*time.Minute))
+		}
+	}
+	return b
+}
+
+func TestMemory(t *testing.T) {
+	const mostBytes = 2_500_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	b := fill()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	data, err := json.Marshal(b.Report(start.Add(400 * time.Minute)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d services: %d bytes, %d for the counts of each, report of %d bytes", b.Services(), used, burn.BytesPerService, len(data))
+	if used > mostBytes || 460*burn.BytesPerService > mostBytes {
+		t.Errorf("takes %d bytes, at most %d are allowed", used, mostBytes)
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	state := fill()
+	now := start.Add(400 * time.Minute)
+	b.ReportAllocs()
+	for b.Loop() {
+		state.Record("svc123", true, time.Millisecond, now)
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	state := fill()
+	now := start.Add(400 * time.Minute)
+	b.ReportAllocs()
+	for b.Loop() {
+		state.Report(now)
+	}
+}
--- a/config/limits.go
+++ b/config/limits.go
@@ -122,6 +122,15 @@
 	latencyPercent float64
 }
 
+// DefaultLevel returns the level of a service that states none.
+func DefaultLevel() Level {
+	return Level{
+		availability:   defaultAvailability,
+		latency:        defaultLatencyMs * time.Millisecond,
+		latencyPercent: defaultLatencyPercent,
+	}
+}
+
 // Availability returns the share of calls to be answered, in percent.
 func (l Level) Availability() float64 { return l.availability }
 
