spread: rumours, comparison by hashes, and few readers of the platform

Items with versions that only go up travel by offers to a bounded set of neighbours, and a comparison of hash trees with one daemon at a time repairs what was lost. A fresh or woken daemon is confirmed only after it has compared with two confirmed daemons, so an old revision of a stale platform is never trusted where a newer one can be heard.

An Accept function was ruled out: two releases that accept different items would never hold the same, and would compare in full for ever. Only size and key are checked; verdicts on content are config's.

--- /dev/null
+++ b/spread/confirm.go
@@ -0,0 +1,61 @@
+package spread
+
+import "time"
+
+// enoughPeers is how many confirmed daemons a fresh one compares with.
+const enoughPeers = 2
+
+// confirm tracks whether this daemon holds what the fleet holds. A fresh or
+// woken daemon may have an old revision from a stale platform; until it is
+// confirmed it must not act on what a revision permits.
+type confirm struct {
+	// since is when the wait began, and round its first comparison.
+	since time.Time
+	round uint64
+	// peers holds the confirmed daemons that hold the same.
+	peers map[string]bool
+	// heard is true once any daemon has answered.
+	heard bool
+	done  bool
+}
+
+func (c *confirm) restart(round uint64, now time.Time) {
+	*c = confirm{since: now, round: round, peers: map[string]bool{}}
+}
+
+// same notes that a daemon holds the same as this one. An answer to a
+// comparison from before a restart counts for nothing.
+func (c *confirm) same(m Message) {
+	if c.done || m.Same.Round < c.round {
+		return
+	}
+	c.heard = true
+	if m.Confirmed {
+		c.peers[m.From] = true
+	}
+}
+
+// Confirmed reports whether this daemon has compared with the fleet since it
+// started or woke: with two confirmed daemons, or with all there are. When none
+// is confirmed or can be reached, it holds after Config.ConfirmWait, provided
+// that the platform's list or any daemon has been heard.
+func (s *State) Confirmed(now time.Time) bool {
+	c := &s.confirm
+	if c.done {
+		return true
+	}
+	others := s.config.Live() - 1
+	listed := s.reading.listed
+	switch {
+	case len(c.peers) >= enoughPeers:
+		c.done = true
+	case listed && len(c.peers) >= others:
+		c.done = true
+	case listed || c.heard:
+		c.done = now.Sub(c.since) >= s.config.ConfirmWait
+	}
+	if c.done {
+		c.peers = nil
+	}
+	return c.done
+}
--- /dev/null
+++ b/spread/platform.go
@@ -0,0 +1,270 @@
+package spread
+
+import (
+	"slices"
+	"time"
+)
+
+// ReadKind says what is read from the platform.
+type ReadKind string
+
+// The kinds of Read.
+const (
+	ReadIndex     ReadKind = "index"
+	ReadValue     ReadKind = "value"
+	ReadInstances ReadKind = "instances"
+)
+
+// Read is one read of the platform. It must be answered by one call of Index,
+// Value, Instances or Failed.
+type Read struct {
+	Kind ReadKind
+	// Key names the value.
+	Key string
+	// After and Wait make a read of the index or of the instances a watch.
+	After uint64
+	Wait  time.Duration
+}
+
+// KeyVersion is one line of the platform's index.
+type KeyVersion struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+const (
+	// pollGap is the least pause between two watches of one kind.
+	pollGap = 200 * time.Millisecond
+	// backoffMin and backoffMax bound the pause after a failed read.
+	backoffMin = 500 * time.Millisecond
+	backoffMax = 10 * time.Second
+	// readTimeout is when a read that was not answered is taken for failed.
+	readTimeout = 10 * time.Second
+	// bareWait is how long a fresh reader leaves documents to other daemons.
+	bareWait = 5 * time.Second
+	// volunteerMin is the least pause between two reads of a daemon that is no
+	// reader.
+	volunteerMin = 2 * time.Second
+	// maxValuesInFlight bounds the values read at the same time.
+	maxValuesInFlight = 4
+)
+
+// watch is the reading of the index or of the instances.
+type watch struct {
+	after    uint64
+	inFlight bool
+	// due is when to read next, or when a read in flight is overdue.
+	due     time.Time
+	backoff time.Duration
+}
+
+// reading is what a daemon knows and wants of the platform.
+type reading struct {
+	// contact is the last answer of the platform that any daemon is known to
+	// have had; stale tells that it is too long ago.
+	contact time.Time
+	stale   bool
+	// listed is true once this daemon has read the list itself.
+	listed bool
+
+	index     watch
+	instances watch
+
+	// wanted holds the revision to read of each key, queue their order.
+	wanted   map[string]uint64
+	queue    []string
+	inFlight map[string]time.Time
+	valueAt  time.Time
+
+	// volunteerAt is when this daemon, though no reader, reads once.
+	volunteerAt time.Time
+}
+
+// startReading sets when a fresh daemon reads the list for the first time. It
+// cannot know the size of the fleet yet, and all of it may be starting.
+func (s *State) startReading(now time.Time) {
+	s.reading = reading{
+		wanted:   map[string]uint64{},
+		inFlight: map[string]time.Time{},
+	}
+	s.reading.volunteerAt = now.Add(s.jitter(s.startWindow()))
+	s.reading.instances.due = now
+}
+
+// startWindow spreads first reads so that they take three quarters of the
+// share, with one read of each daemon.
+func (s *State) startWindow() time.Duration {
+	return seconds(float64(s.config.MaxFleet) / (0.75 * float64(s.config.ReadShare)))
+}
+
+// volunteerWindow spreads the reads of daemons that are no readers so that
+// they take a quarter of the share, with two reads of each daemon.
+func (s *State) volunteerWindow() time.Duration {
+	return seconds(2 * float64(s.config.Live()) / (0.25 * float64(s.config.ReadShare)))
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+func (s *State) rereadAfterPause(now time.Time) {
+	r := &s.reading
+	r.index.inFlight, r.instances.inFlight = false, false
+	r.index.due = now.Add(s.jitter(time.Second))
+	r.instances.due = now.Add(s.jitter(time.Second))
+	clear(r.inFlight)
+	r.volunteerAt = time.Time{}
+}
+
+// listed reports whether other instances can be known, from the platform or
+// from a daemon.
+func (s *State) listed() bool { return s.reading.listed || s.config.Live() > 1 }
+
+// readDue returns when read has something to do next.
+func (s *State) readDue() time.Time {
+	r := &s.reading
+	due := r.volunteerAt
+	earlier := func(at time.Time) {
+		if due.IsZero() || at.Before(due) {
+			due = at
+		}
+	}
+	if due.IsZero() {
+		due = s.compareAt
+	}
+	if s.config.Reader() && s.listed() {
+		earlier(r.index.due)
+		earlier(r.instances.due)
+	}
+	if len(r.queue) > 0 && len(r.inFlight) < maxValuesInFlight {
+		earlier(r.valueAt)
+	}
+	return due
+}
+
+// read asks for the reads of the platform that are due.
+func (s *State) read(actions []Action, now time.Time) []Action {
+	r := &s.reading
+	if s.listed() && s.config.Reader() {
+		r.volunteerAt = time.Time{}
+		actions = s.watch(actions, &r.index, ReadIndex, s.config.WatchWait, now)
+		actions = s.watch(actions, &r.instances, ReadInstances, s.config.WatchWait, now)
+	} else {
+		actions = s.volunteer(actions, now)
+	}
+	return s.readValues(actions, now)
+}
+
+func (s *State) watch(actions []Action, w *watch, kind ReadKind, wait time.Duration, now time.Time) []Action {
+	if now.Before(w.due) {
+		return actions
+	}
+	if w.after == 0 {
+		wait = 0
+	}
+	w.inFlight = true
+	w.due = now.Add(wait + readTimeout)
+	return append(actions, Action{Kind: ReadPlatform, Read: Read{Kind: kind, After: w.after, Wait: wait}})
+}
+
+// volunteer reads the platform once when no daemon seems to read it.
+func (s *State) volunteer(actions []Action, now time.Time) []Action {
+	r := &s.reading
+	if s.listed() {
+		s.planVolunteer(now)
+	}
+	if r.volunteerAt.IsZero() || now.Before(r.volunteerAt) {
+		return actions
+	}
+	if !s.listed() {
+		r.volunteerAt = now.Add(backoffMin + s.startWindow()/2 + s.jitter(s.startWindow()))
+		r.instances.due = now
+		return s.watch(actions, &r.instances, ReadInstances, 0, now)
+	}
+	r.volunteerAt = now.Add(volunteerMin + s.volunteerWindow()/2 + s.jitter(s.volunteerWindow()))
+	r.index.due, r.instances.due = now, now
+	actions = s.watch(actions, &r.index, ReadIndex, 0, now)
+	return s.watch(actions, &r.instances, ReadInstances, 0, now)
+}
+
+func (s *State) planVolunteer(now time.Time) {
+	r := &s.reading
+	r.stale = now.Sub(r.contact) > s.config.ReaderTimeout
+	switch {
+	case !r.stale:
+		r.volunteerAt = time.Time{}
+	case r.volunteerAt.IsZero():
+		r.volunteerAt = now.Add(s.jitter(s.volunteerWindow()))
+	}
+}
+
+// heardOfPlatform notes what another daemon knows of the platform's answers.
+func (s *State) heardOfPlatform(ageMs int64, now time.Time) {
+	if ageMs >= 0 {
+		s.touch(now.Add(-time.Duration(ageMs)*time.Millisecond), now)
+	}
+}
+
+// touch notes an answer of the platform. The first after a long silence is
+// passed on at once, so that other daemons need not read.
+func (s *State) touch(at, now time.Time) {
+	r := &s.reading
+	if !at.After(r.contact) {
+		return
+	}
+	wasStale := now.Sub(r.contact) > s.config.ReaderTimeout
+	r.contact = at
+	if wasStale && now.Sub(at) < s.config.ReaderTimeout/2 {
+		if !s.flushPending() {
+			s.flushAt = now
+		}
+		s.beat = true
+	}
+}
+
+// succeed ends a watch that was answered.
+func (w *watch) succeed(version uint64, now time.Time) {
+	w.inFlight = false
+	w.backoff = 0
+	w.after = max(w.after, version)
+	w.due = now.Add(pollGap)
+}
+
+func (s *State) fail(w *watch, now time.Time) {
+	w.inFlight = false
+	w.backoff = min(max(2*w.backoff, backoffMin), backoffMax)
+	w.due = now.Add(w.backoff/2 + s.jitter(w.backoff))
+}
+
+// Index takes in the platform's index of keys changed.
+func (s *State) Index(version uint64, keys []KeyVersion, now time.Time) []Action {
+	s.touch(now, now)
+	r := &s.reading
+	r.index.succeed(version, now)
+	for _, key := range keys {
+		if s.holds(key) || r.wanted[key.Key] >= key.Version {
+			continue
+		}
+		if _, ok := r.wanted[key.Key]; !ok {
+			at := int(s.config.Rand() % uint64(len(r.queue)+1))
+			r.queue = slices.Insert(r.queue, at, key.Key)
+		}
+		r.wanted[key.Key] = key.Version
+	}
+	return s.Tick(now)
+}
+
+func (s *State) holds(key KeyVersion) bool {
+	e, ok := s.store.entries[key.Key]
+	return ok && e.Version.Major >= key.Version
+}
+
+// Instances notes the version of the platform's list that was read. The list
+// itself is membership's; its changes come back by Put.
+func (s *State) Instances(version uint64, now time.Time) []Action {
+	s.touch(now, now)
+	if !s.reading.listed {
+		s.reading.listed = true
+		s.reading.index.due = now.Add(bareWait)
+	}
+	s.reading.instances.succeed(version, now)
+	return s.Tick(now)
+}
--- /dev/null
+++ b/spread/store.go
@@ -0,0 +1,154 @@
+package spread
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The hash tree has a root, 16 nodes below it and 16 leaves below each of
+// those. A node's hash is the exclusive or of the hashes of all items below it,
+// so that a change costs three operations.
+const (
+	treeLevels = 3
+	treeLeaves = 256
+	fanoutBits = 4
+	hashSize   = 8
+)
+
+// store holds items and their hash tree.
+type store struct {
+	entries    map[string]*entry
+	leaves     [treeLeaves][]*entry
+	tree       [treeLevels][]uint64
+	tombstones []*entry
+}
+
+// entry is one item held.
+type entry struct {
+	Item
+	leaf byte
+	hash uint64
+	// born is when a tombstone came to be.
+	born time.Time
+}
+
+func newStore() store {
+	st := store{entries: map[string]*entry{}}
+	for level := range st.tree {
+		st.tree[level] = make([]uint64, 1<<(level*fanoutBits))
+	}
+	return st
+}
+
+// put keeps an item if it is newer than what is held.
+func (st *store) put(item Item, now time.Time) bool {
+	e, ok := st.entries[item.Key]
+	if ok && item.Version.Compare(e.Version) <= 0 {
+		return false
+	}
+	if !ok {
+		e = &entry{leaf: byte(xxhash.Sum64String(item.Key))}
+		st.entries[item.Key] = e
+		st.leaves[e.leaf] = append(st.leaves[e.leaf], e)
+	}
+	if item.Tombstone && !e.Tombstone {
+		st.tombstones = append(st.tombstones, e)
+	}
+	st.toggle(e)
+	e.Item = item
+	e.hash = item.hash()
+	st.toggle(e)
+	e.born = now.Add(-time.Duration(item.AgeMs) * time.Millisecond)
+	return true
+}
+
+// toggle adds an entry's hash to the tree, or takes it out again.
+func (st *store) toggle(e *entry) {
+	for level := range st.tree {
+		st.tree[level][nodeOf(e.leaf, level)] ^= e.hash
+	}
+}
+
+// nodeOf returns the node of a level that is above a leaf.
+func nodeOf(leaf byte, level int) byte {
+	return leaf >> (fanoutBits * (treeLevels - 1 - level))
+}
+
+func (i Item) hash() uint64 {
+	buffer := make([]byte, 0, MaxKey)
+	buffer = binary.BigEndian.AppendUint64(buffer, i.Version.Major)
+	buffer = binary.BigEndian.AppendUint64(buffer, i.Version.Minor)
+	return xxhash.Sum64(append(buffer, i.Key...))
+}
+
+// forget drops tombstones that are past their life.
+func (st *store) forget(now time.Time, life time.Duration) {
+	st.tombstones = slices.DeleteFunc(st.tombstones, func(e *entry) bool {
+		if !e.Tombstone {
+			return true
+		}
+		if now.Sub(e.born) < life {
+			return false
+		}
+		st.toggle(e)
+		delete(st.entries, e.Key)
+		leaf := &st.leaves[e.leaf]
+		*leaf = slices.DeleteFunc(*leaf, func(other *entry) bool { return other == e })
+		return true
+	})
+}
+
+// summary returns the hashes of the nodes named.
+func (st *store) summary(round uint64, level int, nodes []byte) *Summary {
+	hashes := make([]byte, 0, len(nodes)*hashSize)
+	for _, node := range nodes {
+		hashes = binary.BigEndian.AppendUint64(hashes, st.tree[level][node])
+	}
+	return &Summary{Round: round, Level: level, Nodes: nodes, Hashes: hashes}
+}
+
+// differing returns the nodes of a summary whose hashes are not the same here.
+func (st *store) differing(sum *Summary) []byte {
+	if sum.Level < 0 || sum.Level >= treeLevels || len(sum.Hashes) != len(sum.Nodes)*hashSize {
+		return nil
+	}
+	var nodes []byte
+	for i, node := range sum.Nodes {
+		hash := binary.BigEndian.Uint64(sum.Hashes[i*hashSize:])
+		if int(node) < len(st.tree[sum.Level]) && st.tree[sum.Level][node] != hash {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// children returns the nodes one level below the nodes given.
+func children(nodes []byte) []byte {
+	below := make([]byte, 0, len(nodes)<<fanoutBits)
+	for _, node := range nodes {
+		for i := range byte(1 << fanoutBits) {
+			below = append(below, node<<fanoutBits|i)
+		}
+	}
+	return below
+}
+
+func (e *entry) age(now time.Time) int64 {
+	if !e.Tombstone {
+		return 0
+	}
+	return now.Sub(e.born).Milliseconds()
+}
+
+func (e *entry) offer(now time.Time) Offer {
+	return Offer{Key: e.Key, Version: e.Version, Tombstone: e.Tombstone, AgeMs: e.age(now)}
+}
+
+func (e *entry) item(now time.Time) Item {
+	item := e.Item
+	item.AgeMs = e.age(now)
+	return item
+}
