--- a/call/header.go
+++ b/call/header.go
@@ -19,4 +19,7 @@
 	HeaderIncarnation = "Pomelodoor-Incarnation"
 	HeaderHops        = "Pomelodoor-Hops"
 	HeaderLoad        = "Pomelodoor-Load"
+	HeaderSpent       = "Pomelodoor-Spent-Us"
+	HeaderPriority    = "Pomelodoor-Priority"
+	HeaderFingerprint = "Pomelodoor-Fingerprint"
 )
--- /dev/null
+++ b/cmd/pomelodoor/main.go
@@ -0,0 +1,102 @@
+// Command pomelodoor is the daemon that stands beside each upstream instance,
+// and the operators' tool.
+//
+//	pomelodoor run --instance faults-1 ...   the daemon
+//	pomelodoor check FILE...                 checks documents before they are published
+//	pomelodoor explain --caller NAME FILE    which upstreams serve a caller
+//	pomelodoor status ADMIN...               what is in force at running daemons
+//	pomelodoor burn ADMIN...                 service-level burn of running daemons
+//	pomelodoor version
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"pomelodoor.example/pomelodoor/daemon"
+)
+
+// The exit codes.
+const (
+	exitOK    = 0
+	exitFault = 1
+	exitUsage = 2
+)
+
+// errFault is returned by a command that did its work and found a fault. What
+// it found has been printed.
+var errFault = errors.New("a fault was found")
+
+type arguments struct {
+	Run     *daemon.Settings `arg:"subcommand:run" help:"run the daemon beside an upstream"`
+	Check   *checkCommand    `arg:"subcommand:check" help:"check documents before they are published"`
+	Explain *explainCommand  `arg:"subcommand:explain" help:"show which upstreams serve a caller"`
+	Status  *statusCommand   `arg:"subcommand:status" help:"show what is in force at running daemons"`
+	Version *versionCommand  `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description is printed above the help.
+func (arguments) Description() string {
+	return "pomelodoor balances load between servers whose load shifts in milliseconds.\n"
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run carries out one command line and returns the exit code.
+func run(args []string, out, errOut io.Writer) int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "pomelodoor", Out: errOut}, &a)
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "pomelodoor: %v\n", err)
+		return exitUsage
+	}
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return exitOK
+	case err != nil:
+		_, _ = fmt.Fprintf(errOut, "pomelodoor: %v\n", err)
+		_ = parser.WriteUsageForSubcommand(errOut, parser.SubcommandNames()...)
+		return exitUsage
+	case parser.Subcommand() == nil:
+		parser.WriteHelp(errOut)
+		return exitUsage
+	}
+	return code(dispatch(&a, out, errOut), errOut)
+}
+
+func dispatch(a *arguments, out, errOut io.Writer) error {
+	switch {
+	case a.Run != nil:
+		return runDaemon(a.Run, errOut)
+	case a.Check != nil:
+		return a.Check.run(out)
+	case a.Explain != nil:
+		return a.Explain.run(out)
+	case a.Status != nil:
+		return a.Status.run(out)
+	}
+	return a.Version.run(out)
+}
+
+// code prints an error and turns it into an exit code.
+func code(err error, errOut io.Writer) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errFault):
+		return exitFault
+	case errors.Is(err, daemon.ErrSettings):
+		_, _ = fmt.Fprintf(errOut, "pomelodoor: %v\n", err)
+		return exitUsage
+	}
+	_, _ = fmt.Fprintf(errOut, "pomelodoor: %v\n", err)
+	return exitFault
+}
--- /dev/null
+++ b/cmd/pomelodoor/run.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+
+	"pomelodoor.example/pomelodoor/daemon"
+)
+
+// runDaemon runs until it is told to stop, then shuts down gracefully.
+func runDaemon(settings *daemon.Settings, logTo io.Writer) error {
+	if err := settings.Check(); err != nil {
+		return fmt.Errorf("check settings: %w", err)
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	d, err := daemon.Start(*settings, newLogger(settings, logTo))
+	if err != nil {
+		return fmt.Errorf("start the daemon: %w", err)
+	}
+	<-stop
+	if err := d.Shutdown(); err != nil {
+		return fmt.Errorf("stop the daemon: %w", err)
+	}
+	return nil
+}
+
+func newLogger(settings *daemon.Settings, to io.Writer) *log.Logger {
+	options := log.Options{ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00"}
+	// Settings.Check has accepted the level.
+	options.Level, _ = log.ParseLevel(settings.LogLevel)
+	if settings.LogFormat == "json" {
+		options.Formatter = log.JSONFormatter
+	}
+	return log.NewWithOptions(to, options)
+}
--- /dev/null
+++ b/daemon/attempts.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/ingress"
+	"pomelodoor.example/pomelodoor/node"
+)
+
+// answer is what came of one attempt. response is nil when there was no answer.
+type answer struct {
+	result   node.Attempt
+	response *fasthttp.Response
+	// done is called once the response has been passed on; it may be nil.
+	done func()
+}
+
+// finish notes that the response has been passed on.
+func (a *answer) finish() {
+	if a != nil && a.done != nil {
+		a.done()
+	}
+}
+
+// drop lets go of a response that is not wanted.
+func (a *answer) drop() {
+	if a == nil || a.response == nil {
+		return
+	}
+	_ = a.response.CloseBodyStream()
+	fasthttp.ReleaseResponse(a.response)
+	a.response = nil
+	a.finish()
+}
+
+// send makes one attempt: at this daemon's own upstream, or through another
+// daemon.
+func (d *Daemon) send(ctx context.Context, f node.Forward, req *fasthttp.Request) *answer {
+	start := time.Now()
+	forwarded := ingress.Forwarded{
+		Request: f.Request, From: d.self.ID, Target: f.To.ID, Incarnation: f.Incarnation,
+	}
+	var a *answer
+	if f.To.ID == d.self.ID {
+		a = d.serve(ctx, forwarded, req)
+	} else {
+		a = d.sendPeer(ctx, f.To.Peer, forwarded, req)
+	}
+	a.result.Latency = time.Since(start)
+	return a
+}
+
+// sendPeer makes one attempt through another daemon.
+func (d *Daemon) sendPeer(ctx context.Context, address string, f ingress.Forwarded, req *fasthttp.Request) *answer {
+	ingress.WriteForwarded(&req.Header, f, time.Now())
+	resp := fasthttp.AcquireResponse()
+	if err := d.peers.get(address).Do(ctx, req, resp); err != nil {
+		fasthttp.ReleaseResponse(resp)
+		outcome, reason := failure(ctx, err)
+		return &answer{result: node.Attempt{
+			Outcome: outcome, Reason: reason,
+			Unreachable: reason == call.ConnectFailed,
+			BodyTaken:   !errors.Is(err, exchange.ErrNotSent),
+		}}
+	}
+	a := &answer{response: resp, result: readResult(resp, f.Target)}
+	if a.result.Outcome != call.Run {
+		a.drop()
+	}
+	return a
+}
+
+// readResult reads what the other daemon says became of the request. An answer
+// that is not from the daemon meant is worth nothing.
+func readResult(resp *fasthttp.Response, target string) node.Attempt {
+	h := &resp.Header
+	result := node.Attempt{
+		Outcome:   call.Outcome(h.Peek(call.HeaderOutcome)),
+		Reason:    call.Reason(h.Peek(call.HeaderReason)),
+		Status:    resp.StatusCode(),
+		BodyTaken: true,
+	}
+	known := result.Outcome == call.Run || result.Outcome == call.NotRun || result.Outcome == call.Unknown
+	if !known || string(h.Peek(call.HeaderFrom)) != target && result.Reason != call.WrongIncarnation {
+		return node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost, BodyTaken: true}
+	}
+	if load, err := balance.ParseLoad(h.Peek(call.HeaderLoad)); err == nil {
+		result.Load, result.HasLoad = load, true
+	}
+	if spent, err := strconv.ParseInt(string(h.Peek(call.HeaderSpent)), 10, 64); err == nil {
+		result.Spent = time.Duration(spent) * time.Microsecond
+	}
+	return result
+}
+
+// failure says what an exchange that failed proves about the request.
+func failure(ctx context.Context, err error) (call.Outcome, call.Reason) {
+	outcome := call.Unknown
+	if errors.Is(err, exchange.ErrNotSent) {
+		outcome = call.NotRun
+	}
+	switch {
+	case errors.Is(err, exchange.ErrBodySource):
+		return outcome, call.ShortBody
+	case errors.Is(ctx.Err(), context.Canceled):
+		return outcome, call.Cancelled
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return outcome, call.DeadlineExceeded
+	case errors.Is(err, exchange.ErrBusy):
+		return outcome, call.Overloaded
+	case outcome == call.NotRun:
+		return outcome, call.ConnectFailed
+	}
+	return outcome, call.ConnectionLost
+}
--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,232 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/ingress"
+	"pomelodoor.example/pomelodoor/node"
+)
+
+// maxCallerBody bounds a body where no document states the bound of its
+// service yet.
+const maxCallerBody = 1 << 30
+
+// callerCall is one caller's request while its handler runs.
+type callerCall struct {
+	d       *Daemon
+	ctx     *fasthttp.RequestCtx
+	request call.Request
+	body    *ingress.Body
+	box     chan node.Command
+	// waiting ends when the caller goes or the deadline passes.
+	waiting context.Context
+
+	attempts sync.WaitGroup
+	mu       sync.Mutex
+	open     map[int]*outgoing
+}
+
+// outgoing is one attempt: how to cancel it, and its answer once it has one.
+type outgoing struct {
+	cancel context.CancelFunc
+	answer *answer
+}
+
+// serveCaller takes a caller's request from its arrival to its answer.
+func (d *Daemon) serveCaller(ctx *fasthttp.RequestCtx) {
+	now := time.Now()
+	request, body, err := d.readCaller(ctx, now)
+	if err != nil {
+		refuseRequest(ctx, err)
+		return
+	}
+	box, _ := d.calls.add(request.ID)
+	defer d.calls.remove(request.ID)
+	deadline := request.Deadline
+	if deadline.IsZero() {
+		deadline = now.Add(d.longestWait(request.Service))
+	}
+	waiting, done := d.watch.Context(ctx.Conn(), deadline)
+	c := &callerCall{
+		d: d, ctx: ctx, request: request, body: body, box: box,
+		waiting: waiting, open: map[int]*outgoing{},
+	}
+	d.update(node.CallerRequest{Request: request})
+	outcome := c.serve(done)
+	d.record(request.Service, outcome, ctx.Response.StatusCode(), time.Since(now))
+}
+
+// readCaller parses a request and holds its body if that is short.
+func (d *Daemon) readCaller(ctx *fasthttp.RequestCtx, now time.Time) (call.Request, *ingress.Body, error) {
+	request, err := ingress.ParseCaller(ctx, now)
+	if err != nil {
+		return request, nil, fmt.Errorf("read the request: %w", err)
+	}
+	body, err := ingress.ReadBody(ctx, d.maxBody(request.Service))
+	if err != nil {
+		return request, nil, fmt.Errorf("read the request: %w", err)
+	}
+	if !body.Replayable() {
+		// The read timeout covers the headers; a long body has the deadline.
+		_ = ctx.Conn().SetReadDeadline(now.Add(d.longestWait(request.Service)))
+	}
+	request.ID = fmt.Sprintf("%016x", rand.Uint64())
+	request.Replayable = body.Replayable()
+	request.Fingerprint = ingress.Fingerprint(&ctx.Request.Header, request.Caller, body)
+	return request, body, nil
+}
+
+// refuseRequest answers a request that cannot be accepted; nothing has run.
+func refuseRequest(ctx *fasthttp.RequestCtx, err error) {
+	reason := call.BadRequest
+	switch {
+	case errors.Is(err, ingress.ErrShortBody):
+		reason = call.ShortBody
+	case errors.Is(err, ingress.ErrLongBody):
+		reason = call.BodyTooLarge
+	}
+	ingress.Refuse(ctx, call.NotRun, reason, err.Error())
+	ctx.SetConnectionClose()
+}
+
+// serve carries out the node's commands until one ends the call. The function
+// done stops the watch on the caller's connection.
+func (c *callerCall) serve(done func()) call.Outcome {
+	left := c.waiting.Done()
+	for {
+		select {
+		case command := <-c.box:
+			if outcome, ended := c.carryOut(command, done); ended {
+				return outcome
+			}
+		case <-left:
+			// The attempts end by the same context, and their ends decide.
+			left = nil
+			if errors.Is(c.waiting.Err(), context.Canceled) {
+				c.d.update(node.CallerLeft{ID: c.request.ID})
+				c.attempts.Wait()
+				done()
+				ingress.Refuse(c.ctx, call.Unknown, call.Cancelled, "the caller has gone")
+				return call.Unknown
+			}
+		}
+	}
+}
+
+// carryOut does one command, and reports whether it ended the call.
+func (c *callerCall) carryOut(command node.Command, done func()) (call.Outcome, bool) {
+	switch command := command.(type) {
+	case node.Forward:
+		c.forward(command)
+	case node.CancelForward:
+		c.cancel(command.Number)
+	case node.Answer:
+		c.attempts.Wait()
+		done()
+		ingress.Refuse(c.ctx, command.Outcome, command.Reason, explain(command.Reason))
+		c.ctx.Response.Header.Set(call.HeaderCall, c.request.ID)
+		return command.Outcome, true
+	case node.Deliver:
+		return c.deliver(command.Number, done), true
+	}
+	return "", false
+}
+
+// forward starts one attempt. The request is copied here, because the handler's
+// own may only be touched by this goroutine.
+func (c *callerCall) forward(f node.Forward) {
+	ctx, cancel := context.WithDeadline(c.waiting, f.Request.Deadline)
+	out := &outgoing{cancel: cancel}
+	c.mu.Lock()
+	c.open[f.Number] = out
+	c.mu.Unlock()
+	req := fasthttp.AcquireRequest()
+	ingress.CopyHead(&c.ctx.Request.Header, req)
+	c.body.Put(req)
+	c.attempts.Add(1)
+	go func() {
+		defer c.attempts.Done()
+		a := c.d.send(ctx, f, req)
+		fasthttp.ReleaseRequest(req)
+		a.result.BodyTaken = c.body.Taken() && a.result.BodyTaken
+		c.mu.Lock()
+		out.answer = a
+		c.mu.Unlock()
+		c.d.update(node.AttemptEnded{ID: f.ID, Number: f.Number, Result: a.result})
+	}()
+}
+
+func (c *callerCall) cancel(number int) {
+	c.mu.Lock()
+	out := c.open[number]
+	c.mu.Unlock()
+	if out != nil {
+		out.cancel()
+	}
+}
+
+// deliver passes one attempt's answer on, and drops those of the others. The
+// watch on the caller goes on until the body has been passed on.
+func (c *callerCall) deliver(number int, done func()) call.Outcome {
+	c.mu.Lock()
+	chosen := c.open[number]
+	for n, other := range c.open {
+		if n != number {
+			other.cancel()
+		}
+	}
+	c.mu.Unlock()
+	c.attempts.Wait()
+	for n, other := range c.open {
+		if n != number {
+			other.answer.drop()
+			other.cancel()
+		}
+	}
+	a := chosen.answer
+	ingress.Pass(c.ctx, a.response, func() {
+		a.finish()
+		chosen.cancel()
+		done()
+	})
+	ingress.SetOutcome(c.ctx, a.result.Outcome, a.result.Reason)
+	c.ctx.Response.Header.Set(call.HeaderCall, c.request.ID)
+	return a.result.Outcome
+}
+
+// explain puts a reason into a sentence.
+func explain(reason call.Reason) string {
+	if text := reasonTexts[reason]; text != "" {
+		return text
+	}
+	return "see the documentation of outcomes"
+}
+
+var reasonTexts = map[call.Reason]string{
+	call.Cancelled:        "the call was cancelled",
+	call.ConnectFailed:    "no connection to the upstream could be opened",
+	call.ConnectionLost:   "the connection broke before the answer",
+	call.DeadlineExceeded: "the deadline passed",
+	call.InProgress:       "a request with this key is running",
+	call.KeyExpired:       "the key has expired",
+	call.KeyHomeGone:      "the daemon that knows this key cannot be asked",
+	call.KeyReused:        "the key belongs to another request",
+	call.Leaving:          "the upstream is leaving",
+	call.NoConfiguration:  "no configuration has been read yet",
+	call.NoSelector:       "no selector matches this caller",
+	call.NoUpstream:       "no upstream may serve this caller now",
+	call.Overloaded:       "the upstreams are full",
+	call.Quarantined:      "requests like this one have crashed upstreams",
+	call.ShortBody:        "the request body was cut short",
+	call.Stale:            "the daemon has old knowledge",
+	call.UnknownService:   "no service has the name in the Host header",
+	call.WrongIncarnation: "the instance has been replaced",
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,217 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/ingress"
+	"pomelodoor.example/pomelodoor/membership"
+	"pomelodoor.example/pomelodoor/node"
+	"pomelodoor.example/pomelodoor/peer"
+	"pomelodoor.example/pomelodoor/platform"
+)
+
+const (
+	// tickEvery is the period of node.Tick.
+	tickEvery = 50 * time.Millisecond
+	// sweepEvery is the period at which idle connections are closed.
+	sweepEvery = 5 * time.Second
+	// idleCheck is how often a shutdown asks whether all work is done.
+	idleCheck = 20 * time.Millisecond
+	// upstreamConns bounds the connections to the upstream until a document
+	// states the bound.
+	upstreamConns = 64
+)
+
+// Daemon is one running pomelodoor process.
+type Daemon struct {
+	settings    Settings
+	log         *log.Logger
+	self        membership.Instance
+	incarnation uint64
+	started     time.Time
+
+	mu   sync.Mutex
+	node *node.Node
+
+	calls *boxes
+	runs  *boxes
+	watch *ingress.Watch
+
+	upstream *exchange.Pool
+	peers    *pools
+	platform *platform.Client
+	control  *peer.Endpoint
+
+	callers  *ingress.Server
+	fromPeer *ingress.Server
+	admin    *ingress.Server
+
+	probing *probing
+	ctx     context.Context
+	stop    context.CancelFunc
+	loops   sync.WaitGroup
+}
+
+// Start opens the daemon's ports and begins to work.
+func Start(settings Settings, logger *log.Logger) (*Daemon, error) {
+	if err := settings.Check(); err != nil {
+		return nil, fmt.Errorf("check settings: %w", err)
+	}
+	d := newDaemon(settings, logger)
+	if err := d.listen(); err != nil {
+		d.close()
+		return nil, fmt.Errorf("open ports: %w", err)
+	}
+	d.loop(d.tick)
+	d.loop(d.sweep)
+	d.loop(d.readPlatform)
+	d.part("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation)
+	return d, nil
+}
+
+func newDaemon(settings Settings, logger *log.Logger) *Daemon {
+	started := time.Now()
+	self := membership.Instance{
+		ID: settings.Instance, Service: settings.Service,
+		AvailabilityZone: settings.AvailabilityZone, Region: settings.Region,
+		Listen: settings.Listen, Peer: settings.Peer, Control: settings.Control,
+	}
+	// The wall clock in nanoseconds rises from one life of an instance to its
+	// next.
+	incarnation := uint64(started.UnixNano())
+	ctx, stop := context.WithCancel(context.Background())
+	return &Daemon{
+		settings: settings, log: logger, self: self, incarnation: incarnation, started: started,
+		node:  node.New(node.Config{Self: self, Incarnation: incarnation, Started: started, Rand: rand.Uint64}),
+		calls: newBoxes(), runs: newBoxes(), watch: ingress.NewWatch(),
+		upstream: exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: upstreamConns}),
+		peers:    newPools(),
+		platform: platform.New(platform.Config{Addresses: settings.Platform}),
+		probing:  &probing{},
+		ctx:      ctx, stop: stop,
+	}
+}
+
+func (d *Daemon) listen() (err error) {
+	s := d.settings
+	if d.control, err = peer.Start(peer.Config{Listen: s.Control, Handle: d.receive, Lost: d.lostFraming}); err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.Peer, Handle: d.servePeer}); err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	if d.admin, err = ingress.Start(ingress.Config{Listen: s.Admin, Handle: d.serveAdmin}); err != nil {
+		return fmt.Errorf("admin: %w", err)
+	}
+	if d.callers, err = ingress.Start(ingress.Config{Listen: s.Listen, Handle: d.serveCaller}); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return nil
+}
+
+// update gives the node one message and carries out what it commands.
+func (d *Daemon) update(m node.Message) {
+	d.mu.Lock()
+	commands := d.node.Update(m, time.Now())
+	d.mu.Unlock()
+	d.execute(commands)
+}
+
+// Shutdown refuses new work, lets what is under way end, and closes the ports.
+// Callers are served until then, so that those who have not heard yet are not
+// cut off.
+func (d *Daemon) Shutdown() error {
+	d.part("daemon").Info("The daemon is shutting down.")
+	d.update(node.Shutdown{})
+	told := time.Now()
+	limit := told.Add(d.settings.maxStop())
+	for now := told; now.Before(limit); now = time.Now() {
+		if now.Sub(told) >= d.settings.drain() && d.idle() {
+			break
+		}
+		time.Sleep(idleCheck)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(time.Second))
+	defer cancel()
+	err := d.callers.Shutdown(ctx)
+	if errPeer := d.fromPeer.Shutdown(ctx); err == nil {
+		err = errPeer
+	}
+	d.close()
+	if err != nil {
+		return fmt.Errorf("shut down: %w", err)
+	}
+	d.part("daemon").Info("The daemon has stopped.")
+	return nil
+}
+
+func (d *Daemon) idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Idle()
+}
+
+// close ends what Start began, in whatever state it is.
+func (d *Daemon) close() {
+	d.stop()
+	d.loops.Wait()
+	if d.admin != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = d.admin.Shutdown(ctx)
+	}
+	if d.control != nil {
+		_ = d.control.Stop()
+	}
+	d.watch.Close()
+	d.upstream.Close()
+	d.peers.close()
+}
+
+// loop runs work until the daemon stops.
+func (d *Daemon) loop(work func()) {
+	d.loops.Add(1)
+	go func() {
+		defer d.loops.Done()
+		work()
+	}()
+}
+
+func (d *Daemon) tick() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.update(node.Tick{})
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) sweep() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.peers.sweep()
+			d.upstream.Sweep()
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// part returns the log of one part, with its fixed prefix.
+func (d *Daemon) part(name string) *log.Logger {
+	return d.log.WithPrefix(name)
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/ingress"
+	"pomelodoor.example/pomelodoor/node"
+)
+
+// servePeer takes a request that another daemon has forwarded.
+func (d *Daemon) servePeer(ctx *fasthttp.RequestCtx) {
+	now := time.Now()
+	f, err := ingress.ParseForwarded(ctx, now)
+	if err != nil {
+		refuseRequest(ctx, err)
+		return
+	}
+	body, err := ingress.ReadBody(ctx, maxCallerBody)
+	if err != nil {
+		refuseRequest(ctx, err)
+		return
+	}
+	if !body.Replayable() {
+		_ = ctx.Conn().SetReadDeadline(f.Request.Deadline)
+	}
+	waiting, done := d.watch.Context(ctx.Conn(), f.Request.Deadline)
+	req := fasthttp.AcquireRequest()
+	ingress.CopyHead(&ctx.Request.Header, req)
+	body.Put(req)
+	a := d.serve(waiting, f, req)
+	fasthttp.ReleaseRequest(req)
+	if a.response == nil {
+		done()
+		ingress.Refuse(ctx, a.result.Outcome, a.result.Reason, explain(a.result.Reason))
+	} else {
+		ingress.Pass(ctx, a.response, func() {
+			a.finish()
+			done()
+		})
+		ingress.SetOutcome(ctx, a.result.Outcome, a.result.Reason)
+	}
+	d.writeOwn(ctx, a, now)
+}
+
+// writeOwn adds what only daemons tell each other.
+func (d *Daemon) writeOwn(ctx *fasthttp.RequestCtx, a *answer, since time.Time) {
+	h := &ctx.Response.Header
+	h.Set(call.HeaderFrom, d.self.ID)
+	if a.result.HasLoad {
+		h.SetBytesV(call.HeaderLoad, a.result.Load.Append(nil))
+	}
+	h.Set(call.HeaderSpent, strconv.FormatInt(time.Since(since).Microseconds(), 10))
+}
+
+// serve asks the node for admission, and runs the request on the own upstream
+// if that is granted.
+func (d *Daemon) serve(ctx context.Context, f ingress.Forwarded, req *fasthttp.Request) *answer {
+	id := f.Request.ID
+	box, fresh := d.runs.add(id)
+	if !fresh {
+		return &answer{result: node.Attempt{Outcome: call.Unknown, Reason: call.InProgress}}
+	}
+	d.update(node.PeerRequest{
+		Request: f.Request, From: f.From, Target: f.Target, Incarnation: f.Incarnation,
+	})
+	a := d.await(ctx, box, f.Request, req)
+	d.mu.Lock()
+	a.result.Load, a.result.HasLoad = d.node.Load(time.Now()), true
+	d.mu.Unlock()
+	return a
+}
+
+// await waits for the node's decision and carries it out.
+func (d *Daemon) await(ctx context.Context, box chan node.Command, request call.Request, req *fasthttp.Request) *answer {
+	left := ctx.Done()
+	for {
+		select {
+		case command := <-box:
+			switch command := command.(type) {
+			case node.Run:
+				return d.run(ctx, request, req)
+			case node.Refuse:
+				d.runs.remove(request.ID)
+				return refused(command)
+			}
+		case <-left:
+			left = nil
+			d.update(node.PeerLeft{ID: request.ID})
+		}
+	}
+}
+
+// refused is the answer to a request that ends without a run of its own.
+func refused(r node.Refuse) *answer {
+	a := &answer{result: node.Attempt{Outcome: r.Outcome, Reason: r.Reason, Status: r.Status}}
+	if r.Outcome == call.Run {
+		a.response = fasthttp.AcquireResponse()
+		a.response.SetStatusCode(r.Status)
+		a.response.SetBody(r.Body)
+	}
+	return a
+}
+
+// run sends the request to the own upstream. The slot is held until the answer
+// has been passed on.
+func (d *Daemon) run(ctx context.Context, request call.Request, req *fasthttp.Request) *answer {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	start := time.Now()
+	ingress.WriteOnward(&req.Header, request, start)
+	resp := fasthttp.AcquireResponse()
+	err := d.upstream.Do(ctx, req, resp)
+	if err != nil {
+		outcome, reason := failure(ctx, err)
+		crashed := errors.Is(err, exchange.ErrLost) && ctx.Err() == nil && !errors.Is(err, exchange.ErrBodySource)
+		cancel()
+		fasthttp.ReleaseResponse(resp)
+		d.ended(node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
+		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason, BodyTaken: !errors.Is(err, exchange.ErrNotSent)}}
+	}
+	end := node.RunEnded{ID: request.ID, Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode()}
+	a := &answer{response: resp, result: node.Attempt{
+		Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode(), BodyTaken: true,
+	}}
+	if resp.IsBodyStream() {
+		a.done = func() {
+			end.Latency = time.Since(start)
+			cancel()
+			d.ended(end)
+		}
+		return a
+	}
+	cancel()
+	end.Latency = time.Since(start)
+	end.Body = resp.Body()
+	d.ended(end)
+	return a
+}
+
+// ended tells the node of a run's end. The mailbox closes first: nothing more
+// can come for this request.
+func (d *Daemon) ended(m node.RunEnded) {
+	d.runs.remove(m.ID)
+	d.update(m)
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"time"
+)
+
+// ErrSettings is wrapped by the error for each wrong setting.
+var ErrSettings = errors.New("bad setting")
+
+// Settings are the flags and environment variables of `pomelodoor run`.
+type Settings struct {
+	Instance         string   `arg:"--instance,required,env:POMELODOOR_INSTANCE" placeholder:"ID" help:"name of this instance"`
+	Service          string   `arg:"--service,required,env:POMELODOOR_SERVICE" placeholder:"NAME" help:"service that the upstream belongs to"`
+	AvailabilityZone string   `arg:"--availability-zone,required,env:POMELODOOR_AVAILABILITY_ZONE" placeholder:"ZONE" help:"availability zone of this instance"`
+	Region           string   `arg:"--region,env:POMELODOOR_REGION" default:"default" placeholder:"REGION" help:"region of this instance"`
+	Listen           string   `arg:"--listen,required,env:POMELODOOR_LISTEN" placeholder:"IP:PORT" help:"HTTP for callers"`
+	Peer             string   `arg:"--peer,required,env:POMELODOOR_PEER" placeholder:"IP:PORT" help:"HTTP for other daemons"`
+	Control          string   `arg:"--control,required,env:POMELODOOR_CONTROL" placeholder:"IP:PORT" help:"jsonrpc2 for other daemons"`
+	Admin            string   `arg:"--admin,required,env:POMELODOOR_ADMIN" placeholder:"IP:PORT" help:"HTTP for operators: /status and /debug/vars"`
+	Upstream         string   `arg:"--upstream,required,env:POMELODOOR_UPSTREAM" placeholder:"IP:PORT" help:"HTTP of the upstream beside this daemon"`
+	Platform         []string `arg:"--platform,required,env:POMELODOOR_PLATFORM" placeholder:"IP:PORT" help:"the platform's service; several are tried in turn"`
+	LogLevel         string   `arg:"--log-level,env:POMELODOOR_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
+	LogFormat        string   `arg:"--log-format,env:POMELODOOR_LOG_FORMAT" default:"text" placeholder:"FORMAT" help:"text or json"`
+	DrainSeconds     float64  `arg:"--drain-seconds,env:POMELODOOR_DRAIN_SECONDS" default:"3" placeholder:"S" help:"least time between telling others of a shutdown and closing the ports"`
+	MaxStopSeconds   float64  `arg:"--max-stop-seconds,env:POMELODOOR_MAX_STOP_SECONDS" default:"600" placeholder:"S" help:"most time that a shutdown waits for requests under way"`
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,62})$`)
+
+const maxDrainSeconds = 3600
+
+// Check returns an error that names every wrong setting.
+func (s *Settings) Check() error {
+	var faults []error
+	fault := func(flag, text string) {
+		faults = append(faults, fmt.Errorf("%w: --%s: %s", ErrSettings, flag, text))
+	}
+	names := map[string]string{
+		"instance": s.Instance, "service": s.Service,
+		"availability-zone": s.AvailabilityZone, "region": s.Region,
+	}
+	for _, flag := range []string{"instance", "service", "availability-zone", "region"} {
+		if !namePattern.MatchString(names[flag]) {
+			fault(flag, fmt.Sprintf("%q is not a name of lower-case letters, digits, dots, dashes and underscores", names[flag]))
+		}
+	}
+	s.checkAddresses(fault)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		fault("log-level", fmt.Sprintf("%q is none of debug, info, warn, error", s.LogLevel))
+	}
+	if s.LogFormat != "text" && s.LogFormat != "json" {
+		fault("log-format", fmt.Sprintf("%q is neither text nor json", s.LogFormat))
+	}
+	for flag, seconds := range map[string]float64{"drain-seconds": s.DrainSeconds, "max-stop-seconds": s.MaxStopSeconds} {
+		if !(seconds >= 0 && seconds <= maxDrainSeconds) {
+			fault(flag, fmt.Sprintf("%g is not between 0 and %d", seconds, maxDrainSeconds))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+func (s *Settings) checkAddresses(fault func(flag, text string)) {
+	own := map[string]string{}
+	for _, a := range []struct{ flag, address string }{
+		{"listen", s.Listen}, {"peer", s.Peer}, {"control", s.Control}, {"admin", s.Admin}, {"upstream", s.Upstream},
+	} {
+		if !isAddress(a.address) {
+			fault(a.flag, fmt.Sprintf("%q is not IP:PORT", a.address))
+			continue
+		}
+		if other, twice := own[a.address]; twice {
+			fault(a.flag, fmt.Sprintf("%s is already used by --%s", a.address, other))
+		}
+		own[a.address] = a.flag
+	}
+	for _, address := range s.Platform {
+		if !isAddress(address) {
+			fault("platform", fmt.Sprintf("%q is not IP:PORT", address))
+		}
+	}
+}
+
+// isAddress reports whether text is an IP number and a port above 0.
+func isAddress(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.Port() != 0
+}
+
+func (s *Settings) drain() time.Duration {
+	return time.Duration(s.DrainSeconds * float64(time.Second))
+}
+
+func (s *Settings) maxStop() time.Duration {
+	return time.Duration(s.MaxStopSeconds * float64(time.Second))
+}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -83,6 +83,22 @@
 	return nil
 }
 
+// SetMaxConns changes the bound on open connections. Those beyond it close as
+// they fall idle.
+func (p *Pool) SetMaxConns(n int) {
+	p.mu.Lock()
+	p.cfg.MaxConns = n
+	p.mu.Unlock()
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep() {
+	oldest := p.cfg.Now().Add(-p.cfg.MaxIdle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropIdle(oldest)
+}
+
 // Close closes the idle connections and refuses new requests. Exchanges under
 // way finish.
 func (p *Pool) Close() {
@@ -123,11 +139,7 @@
 	oldest := p.cfg.Now().Add(-p.cfg.MaxIdle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && p.idle[0].idleSince.Before(oldest) {
-		_ = p.idle[0].Close()
-		p.idle = p.idle[1:]
-		p.open--
-	}
+	p.dropIdle(oldest)
 	if len(p.idle) == 0 {
 		return nil
 	}
@@ -137,6 +149,16 @@
 	return c
 }
 
+// dropIdle closes the connections put back before oldest, which are first.
+func (p *Pool) dropIdle(oldest time.Time) {
+	for len(p.idle) > 0 && p.idle[0].idleSince.Before(oldest) {
+		_ = p.idle[0].Close()
+		p.idle[0] = nil
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	if err := p.reserve(); err != nil {
 		return nil, err
@@ -175,7 +197,7 @@
 	_ = c.SetDeadline(time.Time{})
 	c.idleSince = p.cfg.Now()
 	p.mu.Lock()
-	if p.closed {
+	if p.closed || p.open > p.cfg.MaxConns {
 		p.mu.Unlock()
 		p.discard(c)
 		return
--- /dev/null
+++ b/ingress/gone_linux.go
@@ -0,0 +1,26 @@
+package ingress
+
+import (
+	"net"
+	"syscall"
+)
+
+// gone reports whether the other end has closed the connection. It looks
+// without waiting and takes no byte.
+func gone(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	var one [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = (n == 0 && recvErr == nil) || recvErr == syscall.ECONNRESET
+	})
+	return err != nil || closed
+}
--- /dev/null
+++ b/ingress/request.go
@@ -0,0 +1,169 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pomelodoor.example/pomelodoor/call"
+)
+
+const (
+	// maxDeadline bounds how long a caller may ask to wait.
+	maxDeadline = 10 * time.Minute
+	// maxNameBytes bounds the names of callers, services and keys.
+	maxNameBytes = 256
+)
+
+// ErrRequest means that a header of the request cannot be accepted.
+var ErrRequest = errors.New("ingress: bad request")
+
+// Forwarded is a request that another daemon has sent on.
+type Forwarded struct {
+	Request call.Request
+	// From is the instance of the daemon that sent it.
+	From string
+	// Target and Incarnation name the daemon that is meant; the incarnation is
+	// 0 when the sender does not know it.
+	Target      string
+	Incarnation uint64
+}
+
+// ParseCaller reads a caller's request. The fields that need configuration or
+// the body are left for the caller of this function to fill.
+func ParseCaller(ctx *fasthttp.RequestCtx, now time.Time) (call.Request, error) {
+	h := &ctx.Request.Header
+	r := call.Request{
+		Service: serviceName(string(h.Host())),
+		Caller:  string(h.Peek(call.HeaderCaller)),
+		Method:  string(h.Method()),
+		Key:     strings.Trim(string(h.Peek(call.HeaderKey)), `"`),
+	}
+	if r.Service == "" {
+		return r, fmt.Errorf("%w: no service in the Host header", ErrRequest)
+	}
+	for _, name := range []string{r.Service, r.Caller, r.Key} {
+		if len(name) > maxNameBytes {
+			return r, fmt.Errorf("%w: a name is longer than %d bytes", ErrRequest, maxNameBytes)
+		}
+	}
+	if len(h.PeekAll("Host")) > 1 || len(h.PeekAll(call.HeaderKey)) > 1 {
+		return r, fmt.Errorf("%w: a header that must be single is repeated", ErrRequest)
+	}
+	attempt, err := number(h, call.HeaderAttempt)
+	if err != nil {
+		return r, err
+	}
+	r.Attempt = int(min(attempt, maxAttempt))
+	r.Deadline, err = deadline(h, now)
+	return r, err
+}
+
+// maxAttempt caps the attempt number that is carried on.
+const maxAttempt = 1000
+
+// ParseForwarded reads a request that another daemon has sent on.
+func ParseForwarded(ctx *fasthttp.RequestCtx, now time.Time) (Forwarded, error) {
+	r, err := ParseCaller(ctx, now)
+	if err != nil {
+		return Forwarded{}, err
+	}
+	h := &ctx.Request.Header
+	r.ID = string(h.Peek(call.HeaderCall))
+	if r.ID == "" {
+		return Forwarded{}, fmt.Errorf("%w: no call id", ErrRequest)
+	}
+	r.Priority = call.Priority(h.Peek(call.HeaderPriority))
+	hops, err := number(h, call.HeaderHops)
+	if err != nil {
+		return Forwarded{}, err
+	}
+	r.Hops = int(min(hops, maxAttempt))
+	f := Forwarded{
+		From:   string(h.Peek(call.HeaderFrom)),
+		Target: string(h.Peek(call.HeaderTarget)),
+	}
+	if f.Incarnation, err = number(h, call.HeaderIncarnation); err != nil {
+		return Forwarded{}, err
+	}
+	if r.Fingerprint, err = number(h, call.HeaderFingerprint); err != nil {
+		return Forwarded{}, err
+	}
+	f.Request = r
+	return f, nil
+}
+
+// WriteForwarded puts onto a request's headers what ParseForwarded reads.
+func WriteForwarded(h *fasthttp.RequestHeader, f Forwarded, now time.Time) {
+	h.Set(call.HeaderCall, f.Request.ID)
+	h.Set(call.HeaderPriority, string(f.Request.Priority))
+	h.Set(call.HeaderHops, strconv.Itoa(f.Request.Hops))
+	h.Set(call.HeaderFrom, f.From)
+	h.Set(call.HeaderTarget, f.Target)
+	h.Set(call.HeaderIncarnation, strconv.FormatUint(f.Incarnation, 10))
+	h.Set(call.HeaderFingerprint, strconv.FormatUint(f.Request.Fingerprint, 10))
+	WriteOnward(h, f.Request, now)
+}
+
+// WriteOnward puts onto a request's headers what an upstream may pass on with
+// calls of its own: the attempt, and what is left of the deadline.
+func WriteOnward(h *fasthttp.RequestHeader, r call.Request, now time.Time) {
+	h.Set(call.HeaderCall, r.ID)
+	h.Set(call.HeaderCaller, r.Caller)
+	h.Set(call.HeaderAttempt, strconv.Itoa(r.Attempt))
+	left := max(r.Deadline.Sub(now).Milliseconds(), 1)
+	h.Set(call.HeaderDeadline, strconv.FormatInt(left, 10))
+}
+
+// CopyHead starts a request to elsewhere from the one received: everything but
+// the body, the headers of one connection, and what only daemons may say.
+func CopyHead(from *fasthttp.RequestHeader, to *fasthttp.Request) {
+	from.CopyTo(&to.Header)
+	to.UseHostHeader = true
+	stripHop(to.Header.Del)
+	to.Header.Del("Expect")
+	for _, name := range daemonHeaders {
+		to.Header.Del(name)
+	}
+}
+
+var daemonHeaders = []string{
+	call.HeaderFrom, call.HeaderTarget, call.HeaderIncarnation, call.HeaderHops,
+	call.HeaderPriority, call.HeaderFingerprint, call.HeaderLoad, call.HeaderCall,
+	call.HeaderSpent, call.HeaderOutcome, call.HeaderReason,
+}
+
+// serviceName takes the service from a Host header.
+func serviceName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+func deadline(h *fasthttp.RequestHeader, now time.Time) (time.Time, error) {
+	ms, err := number(h, call.HeaderDeadline)
+	if err != nil || ms == 0 {
+		return time.Time{}, err
+	}
+	wait := min(ms, uint64(maxDeadline.Milliseconds()))
+	return now.Add(time.Duration(wait) * time.Millisecond), nil
+}
+
+// number reads a header that holds a whole number; 0 when it is absent.
+func number(h *fasthttp.RequestHeader, name string) (uint64, error) {
+	text := h.Peek(name)
+	if len(text) == 0 {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s is not a whole number", ErrRequest, name)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/node/admission.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/admit"
+	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/config"
+)
+
+// runState is one request at this daemon's admission.
+type runState struct {
+	request call.Request
+	from    string
+	// started is zero while the request waits.
+	started time.Time
+}
+
+// peerRequest lets a request run on the own upstream, or proves that it did
+// not.
+func (n *Node) peerRequest(m PeerRequest, now time.Time) []Command {
+	id := m.Request.ID
+	if reason, ok := n.acceptable(m, now); !ok {
+		return []Command{Refuse{ID: id, Outcome: call.NotRun, Reason: reason}}
+	}
+	if n.runs[id] != nil {
+		// The same attempt twice is a fault of the sender.
+		return []Command{Refuse{ID: id, Outcome: call.Unknown, Reason: call.InProgress}}
+	}
+	n.runs[id] = &runState{request: m.Request, from: m.From}
+	return n.admit(n.gate.Arrive(m.Request, now), now)
+}
+
+// acceptable makes the checks that need nothing but this daemon's own state.
+func (n *Node) acceptable(m PeerRequest, now time.Time) (call.Reason, bool) {
+	self := n.view.Self()
+	switch {
+	case m.Target != self.ID:
+		return call.WrongIncarnation, false
+	case m.Incarnation != 0 && m.Incarnation != n.cfg.Incarnation:
+		return call.WrongIncarnation, false
+	case m.Request.Service != self.Service:
+		return call.WrongIncarnation, false
+	case n.view.Superseded(), n.view.Paused(now):
+		return call.Stale, false
+	case n.leaving():
+		return call.Leaving, false
+	case !m.Request.Deadline.After(now):
+		return call.DeadlineExceeded, false
+	}
+	return "", true
+}
+
+// admit turns the gate's actions into commands.
+func (n *Node) admit(actions []admit.Action, now time.Time) []Command {
+	var out []Command
+	for _, a := range actions {
+		run := n.runs[a.CallID]
+		if run == nil {
+			continue
+		}
+		switch a.Kind {
+		case admit.Start:
+			run.started = now
+			out = append(out, Run{ID: a.CallID})
+		case admit.Refuse:
+			delete(n.runs, a.CallID)
+			out = append(out, Refuse{ID: a.CallID, Outcome: call.NotRun, Reason: a.Reason})
+		case admit.Cancel:
+			out = append(out, CancelRun{ID: a.CallID})
+		}
+	}
+	return out
+}
+
+// runEnded frees the slot and lets the next request start.
+func (n *Node) runEnded(m RunEnded, now time.Time) []Command {
+	run := n.runs[m.ID]
+	if run == nil {
+		return nil
+	}
+	delete(n.runs, m.ID)
+	failed := m.Outcome != call.Run || faulty(m.Status)
+	n.own.Observe(m.Latency, failed, now)
+	service := m.Latency
+	if failed {
+		service = 0
+	}
+	return n.admit(n.gate.Finish(m.ID, service, now), now)
+}
+
+// peerLeft drops a request that nobody waits for.
+func (n *Node) peerLeft(m PeerLeft, now time.Time) []Command {
+	if n.runs[m.ID] == nil {
+		return nil
+	}
+	return n.admit(n.gate.Leave(m.ID, now), now)
+}
+
+// limits puts the limits in force at the gate.
+func (n *Node) limits(now time.Time) []Command {
+	service, ok := n.config.Service(n.view.Self().Service)
+	if !ok {
+		return nil
+	}
+	l := service.Limits()
+	want := admit.Limits{Slots: l.Slots(), Queue: l.Queue(), Shed: n.config.Allowed(config.Shed)}
+	if want == n.gate.Limits() {
+		return nil
+	}
+	return n.admit(n.gate.Resize(want, now), now)
+}
+
+// Load reports this daemon's own upstream, as other daemons receive it.
+func (n *Node) Load(now time.Time) balance.Load {
+	l := n.gate.Load(now)
+	load := balance.Load{
+		State:       balance.Serving,
+		InFlight:    l.InFlight,
+		Queued:      l.Queued,
+		Slots:       l.Slots,
+		ServiceTime: l.ServiceTime,
+		FailPercent: int(100 * n.own.FailShare(now)),
+	}
+	switch {
+	case l.Draining || n.leaving():
+		load.State = balance.Draining
+	case n.upstreamCold:
+		load.State = balance.Cold
+	case n.meter.Failures() >= downAfterFailures:
+		load.State = balance.Down
+	}
+	return load
+}
+
+// downAfterFailures is the number of probes in a row that must fail before the
+// upstream is reported as down.
+const downAfterFailures = 3
+
+// leaving reports whether new work is refused for good or until the upstream
+// returns.
+func (n *Node) leaving() bool {
+	return n.stopping || n.gate.Draining()
+}
--- /dev/null
+++ b/node/command.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/membership"
+	"pomelodoor.example/pomelodoor/peer"
+)
+
+// Command is something to be done outside. The types in this file are all
+// there are.
+type Command interface{ command() }
+
+// Forward sends a caller's request to a daemon, which may be this one.
+type Forward struct {
+	ID string
+	// Number tells the attempts of one call apart, from 1.
+	Number int
+	To     membership.Instance
+	// Incarnation of the daemon that is meant; 0 when it is not known.
+	Incarnation uint64
+	// Request is what to send on, with an ID of its own.
+	Request call.Request
+}
+
+// CancelForward ends an attempt whose answer is no longer wanted.
+type CancelForward struct {
+	ID     string
+	Number int
+}
+
+// Answer answers the caller for pomelodoor itself.
+type Answer struct {
+	ID      string
+	Outcome call.Outcome
+	Reason  call.Reason
+}
+
+// Deliver passes the answer of an attempt on to the caller.
+type Deliver struct {
+	ID     string
+	Number int
+}
+
+// HedgeAfter asks for a HedgeDue after a delay.
+type HedgeAfter struct {
+	ID    string
+	Delay time.Duration
+}
+
+// Run sends a request to this daemon's own upstream.
+type Run struct {
+	ID string
+}
+
+// Refuse answers the sender of a PeerRequest that ends without a Run.
+type Refuse struct {
+	ID      string
+	Outcome call.Outcome
+	Reason  call.Reason
+	// Status and Body hold the answer kept from the first run when Reason is
+	// call.Replayed and the body was short enough to keep.
+	Status int
+	Body   []byte
+}
+
+// CancelRun ends a Run whose answer nobody waits for.
+type CancelRun struct {
+	ID string
+}
+
+// Probe reads the load of this daemon's own upstream.
+type Probe struct{}
+
+// CancelProbe gives up the Probe under way.
+type CancelProbe struct{}
+
+// Send sends a control message to another daemon's control address.
+type Send struct {
+	Address  string
+	Envelope peer.Envelope
+}
+
+// Note is something that the operators should find in the log.
+type Note struct {
+	// Part is the fixed prefix of the part that speaks.
+	Part string
+	Text string
+	// Warn marks what may need an operator.
+	Warn bool
+}
+
+func (Forward) command()       {}
+func (CancelForward) command() {}
+func (Answer) command()        {}
+func (Deliver) command()       {}
+func (HedgeAfter) command()    {}
+func (Run) command()           {}
+func (Refuse) command()        {}
+func (CancelRun) command()     {}
+func (Probe) command()         {}
+func (CancelProbe) command()   {}
+func (Send) command()          {}
+func (Note) command()          {}
--- /dev/null
+++ b/node/ingress.go
@@ -0,0 +1,261 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/retry"
+)
+
+// callState is one caller's request that has not been answered yet.
+type callState struct {
+	request  call.Request
+	service  *config.Service
+	selector *config.Selector
+	// above is the attempt number that came with the request.
+	above int
+	made  int
+	// tried names the upstreams that have had an attempt.
+	tried []string
+	// open holds the attempts under way.
+	open []attempt
+	// unknown is set once an attempt may have run without an answer.
+	unknown   bool
+	bodyTaken bool
+}
+
+// attempt is one Forward under way.
+type attempt struct {
+	number int
+	target string
+	zone   string
+}
+
+// callerRequest finds the service and the selector, and makes the first
+// attempt.
+func (n *Node) callerRequest(m CallerRequest, now time.Time) []Command {
+	c := &callState{request: m.Request, above: m.Request.Attempt}
+	service, ok := n.config.Service(m.Request.Service)
+	if !ok {
+		return n.unknownService(m.Request.ID)
+	}
+	c.service = service
+	if c.selector, ok = service.Select(m.Request.Caller); !ok {
+		return []Command{Answer{m.Request.ID, call.NotRun, call.NoSelector}}
+	}
+	c.request.Priority = service.Priority(m.Request.Caller)
+	latest := now.Add(service.Limits().Timeout())
+	if c.request.Deadline.IsZero() || c.request.Deadline.After(latest) {
+		c.request.Deadline = latest
+	}
+	n.calls[c.request.ID] = c
+	n.policy(service, now).First(c.above)
+	target, reason, ok := n.choose(c, now)
+	if !ok {
+		return n.giveUp(c, call.NotRun, reason)
+	}
+	return n.forward(c, target, now)
+}
+
+// unknownService tells a name that no document has from having no documents.
+func (n *Node) unknownService(id string) []Command {
+	reason := call.UnknownService
+	if len(n.config.Documents()) == 0 {
+		reason = call.NoConfiguration
+	}
+	return []Command{Answer{id, call.NotRun, reason}}
+}
+
+// choose names the upstream for the next attempt, or says why there is none.
+func (n *Node) choose(c *callState, now time.Time) (target string, reason call.Reason, ok bool) {
+	if c.keyed() {
+		return n.chooseHome(c, now)
+	}
+	set := n.candidates(c.service, c.selector)
+	i, ok := n.picker(c.service).Pick(set.list, c.tried, n.pickOptions(c), now)
+	if !ok {
+		return "", call.NoUpstream, false
+	}
+	return set.list[i].ID, "", true
+}
+
+// forward makes one attempt at the instance named.
+func (n *Node) forward(c *callState, target string, now time.Time) []Command {
+	record, ok := n.view.Lookup(target)
+	if !ok {
+		return n.giveUp(c, call.NotRun, call.NoUpstream)
+	}
+	c.made++
+	c.tried = append(c.tried, target)
+	c.open = append(c.open, attempt{number: c.made, target: target, zone: record.AvailabilityZone})
+	n.picker(c.service).Started(target, now)
+	onward := c.request
+	onward.ID = c.request.ID + "-" + strconv.Itoa(c.made)
+	onward.Attempt = n.try(c).Attempt() - 1
+	out := []Command{Forward{
+		ID:          c.request.ID,
+		Number:      c.made,
+		To:          record.Instance,
+		Incarnation: record.Incarnation,
+		Request:     onward,
+	}}
+	if delay, ok := n.policy(c.service, now).HedgeAfter(n.try(c), now); ok && c.made == 1 {
+		out = append(out, HedgeAfter{ID: c.request.ID, Delay: delay})
+	}
+	return out
+}
+
+// attemptEnded learns from the end of an attempt, then answers the caller or
+// tries again.
+func (n *Node) attemptEnded(m AttemptEnded, now time.Time) []Command {
+	c := n.calls[m.ID]
+	if c == nil {
+		return nil
+	}
+	a, ok := c.close(m.Number)
+	if !ok {
+		return nil
+	}
+	n.learn(c, a, m.Result, now)
+	c.bodyTaken = c.bodyTaken || m.Result.BodyTaken
+	if m.Result.Outcome == call.Unknown {
+		c.unknown = true
+	}
+	failed := m.Result.Outcome == call.Run && faulty(m.Result.Status)
+	if m.Result.Outcome == call.Run && !failed {
+		n.policy(c.service, now).Answered(m.Result.Latency)
+		return n.deliver(c, m.Number, now)
+	}
+	if len(c.open) > 0 {
+		// The other attempt may still bring a good answer.
+		return nil
+	}
+	if out, ok := n.again(c, m.Result.Outcome, failed, now); ok {
+		return out
+	}
+	if failed {
+		return n.deliver(c, m.Number, now)
+	}
+	return n.giveUp(c, m.Result.Outcome, m.Result.Reason)
+}
+
+// again makes another attempt if the policy allows it and an upstream is left.
+func (n *Node) again(c *callState, last call.Outcome, failed bool, now time.Time) ([]Command, bool) {
+	t := n.try(c)
+	t.Last, t.Failed = last, failed
+	target, _, ok := n.choose(c, now)
+	if !ok || !n.policy(c.service, now).Again(t, now).Allowed {
+		return nil, false
+	}
+	return n.forward(c, target, now), true
+}
+
+// learn tells the picker and the link times what an attempt has shown.
+func (n *Node) learn(c *callState, a attempt, r Attempt, now time.Time) {
+	picker := n.picker(c.service)
+	if r.Unreachable {
+		picker.MarkDown(a.target, now)
+	}
+	if r.HasLoad {
+		picker.Heard(a.target, r.Load, now)
+	}
+	if r.Spent > 0 && a.target != n.self() {
+		n.links.observe(a.zone, r.Latency-r.Spent)
+	}
+	picker.Finished(a.target, balance.Result{
+		Latency:   r.Latency,
+		Failed:    r.Outcome == call.Unknown && r.Reason != call.Cancelled || r.Outcome == call.Run && faulty(r.Status),
+		NotRun:    r.Outcome == call.NotRun,
+		Cancelled: r.Reason == call.Cancelled,
+	}, now)
+}
+
+// hedgeDue sends a second copy of a slow call beside the first.
+func (n *Node) hedgeDue(m HedgeDue, now time.Time) []Command {
+	c := n.calls[m.ID]
+	if c == nil || len(c.open) != 1 || c.made != 1 {
+		return nil
+	}
+	set := n.candidates(c.service, c.selector)
+	options := n.pickOptions(c)
+	options.NoTrial = true
+	i, ok := n.picker(c.service).Pick(set.list, c.tried, options, now)
+	if !ok || !n.policy(c.service, now).Hedge(n.try(c), now).Allowed {
+		return nil
+	}
+	return n.forward(c, set.list[i].ID, now)
+}
+
+// callerLeft ends the attempts of a call that nobody waits for.
+func (n *Node) callerLeft(m CallerLeft, now time.Time) []Command {
+	c := n.calls[m.ID]
+	if c == nil {
+		return nil
+	}
+	delete(n.calls, m.ID)
+	return n.cancelOpen(c, now)
+}
+
+// deliver ends a call with the answer of one attempt; any other is cancelled.
+func (n *Node) deliver(c *callState, number int, now time.Time) []Command {
+	delete(n.calls, c.request.ID)
+	out := []Command{Deliver{ID: c.request.ID, Number: number}}
+	return append(out, n.cancelOpen(c, now)...)
+}
+
+// giveUp ends a call with no answer from an upstream. A call of which any
+// attempt may have run is unknown, whatever the last attempt proved.
+func (n *Node) giveUp(c *callState, outcome call.Outcome, reason call.Reason) []Command {
+	delete(n.calls, c.request.ID)
+	if c.unknown {
+		outcome = call.Unknown
+	}
+	return []Command{Answer{ID: c.request.ID, Outcome: outcome, Reason: reason}}
+}
+
+// cancelOpen cancels every attempt still under way.
+func (n *Node) cancelOpen(c *callState, now time.Time) []Command {
+	var out []Command
+	for _, a := range c.open {
+		out = append(out, CancelForward{ID: c.request.ID, Number: a.number})
+		n.picker(c.service).Finished(a.target, balance.Result{Cancelled: true}, now)
+	}
+	return out
+}
+
+// try describes the call to the retry policy.
+func (n *Node) try(c *callState) retry.Try {
+	return retry.Try{
+		Idempotent: c.request.Idempotent(),
+		Replayable: c.request.Replayable,
+		BodyTaken:  c.bodyTaken,
+		Above:      c.above,
+		Made:       c.made,
+		Deadline:   c.request.Deadline,
+	}
+}
+
+// keyed reports whether the call must run at its key's home, at most once.
+func (c *callState) keyed() bool {
+	return c.request.Key != "" && !c.request.Idempotent()
+}
+
+// close takes an attempt off the open ones.
+func (c *callState) close(number int) (attempt, bool) {
+	for i, a := range c.open {
+		if a.number == number {
+			c.open = append(c.open[:i], c.open[i+1:]...)
+			return a, true
+		}
+	}
+	return attempt{}, false
+}
+
+// faulty reports whether a status shows a fault of the upstream rather than
+// of the request.
+func faulty(status int) bool {
+	return status >= 500 && status != 501 && status != 505
+}
--- /dev/null
+++ b/node/message.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/measure"
+	"pomelodoor.example/pomelodoor/membership"
+)
+
+// Message is something that happened. The types in this file are all there
+// are.
+type Message interface{ message() }
+
+// CallerRequest says that a caller's request has arrived, its body held or
+// ready to stream.
+type CallerRequest struct {
+	Request call.Request
+}
+
+// CallerLeft says that the caller no longer waits for its answer.
+type CallerLeft struct {
+	ID string
+}
+
+// AttemptEnded says what became of a Forward.
+type AttemptEnded struct {
+	ID     string
+	Number int
+	Result Attempt
+}
+
+// Attempt is what became of one try of a call at one daemon.
+type Attempt struct {
+	Outcome call.Outcome
+	Reason  call.Reason
+	// Status is the HTTP status of the upstream's answer when Outcome is Run.
+	Status int
+	// Latency is the time until the answer could be passed on.
+	Latency time.Duration
+	// Spent is the part of Latency that the other daemon says it took.
+	Spent time.Duration
+	// Unreachable means that no connection could be opened.
+	Unreachable bool
+	// BodyTaken means that part of a streamed body is gone.
+	BodyTaken bool
+	// Load is the other daemon's report; HasLoad is false without one.
+	Load    balance.Load
+	HasLoad bool
+}
+
+// HedgeDue says that the delay of a HedgeAfter has passed.
+type HedgeDue struct {
+	ID string
+}
+
+// PeerRequest says that another daemon, or this one's own ingress, wants a
+// call to run on this daemon's upstream.
+type PeerRequest struct {
+	Request call.Request
+	From    string
+	// Target and Incarnation name the daemon that the sender means; 0 is an
+	// incarnation that it does not know.
+	Target      string
+	Incarnation uint64
+}
+
+// PeerLeft says that the sender of a PeerRequest no longer waits.
+type PeerLeft struct {
+	ID string
+}
+
+// RunEnded says what became of a Run.
+type RunEnded struct {
+	ID      string
+	Outcome call.Outcome
+	Reason  call.Reason
+	Status  int
+	// Latency is the time that the upstream took.
+	Latency time.Duration
+	// Crashed means that the upstream's connection broke before its answer.
+	Crashed bool
+	// Body is the answer when it is short enough to keep for a resend.
+	Body []byte
+}
+
+// ProbeEnded says what a Probe read, or why it read nothing.
+type ProbeEnded struct {
+	Reading measure.Reading
+	Err     error
+}
+
+// DocumentRead brings a document that the platform holds.
+type DocumentRead struct {
+	Key  string
+	Body []byte
+}
+
+// InstancesRead brings the platform's list of instances.
+type InstancesRead struct {
+	Entries []membership.ListEntry
+	Version uint64
+}
+
+// Tick says that time has passed. It must come several times a second.
+type Tick struct{}
+
+// Shutdown says that this daemon is to stop once its work is done.
+type Shutdown struct{}
+
+func (CallerRequest) message() {}
+func (CallerLeft) message()    {}
+func (AttemptEnded) message()  {}
+func (HedgeDue) message()      {}
+func (PeerRequest) message()   {}
+func (PeerLeft) message()      {}
+func (RunEnded) message()      {}
+func (ProbeEnded) message()    {}
+func (DocumentRead) message()  {}
+func (InstancesRead) message() {}
+func (Tick) message()          {}
+func (Shutdown) message()      {}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/admit"
+	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/measure"
+	"pomelodoor.example/pomelodoor/membership"
+	"pomelodoor.example/pomelodoor/retry"
+)
+
+// Config sets up a node.
+type Config struct {
+	// Self is the daemon's own instance.
+	Self membership.Instance
+	// Incarnation names this life of the daemon; it is above that of every
+	// earlier life of the same instance.
+	Incarnation uint64
+	// Started is when this life began.
+	Started time.Time
+	// Rand returns uniform random numbers.
+	Rand func() uint64
+}
+
+// Node is the state of one daemon. It is not safe for concurrent use.
+type Node struct {
+	cfg    Config
+	config *config.Set
+	view   *membership.View
+
+	// As ingress: the calls of callers, and what is known of upstreams.
+	calls    map[string]*callState
+	sets     map[candidateKey]*candidateSet
+	pickers  map[string]*balance.Picker
+	policies map[string]*retry.Policy
+	links    *links
+	doubt    bool
+
+	// As admission: the requests for the own upstream.
+	runs  map[string]*runState
+	gate  *admit.Gate
+	own   balance.Estimate
+	meter *measure.Meter
+
+	upstreamCold bool
+	// servingSince is when the upstream began to say that it serves.
+	servingSince time.Time
+	stopping     bool
+}
+
+// New returns the node of a daemon that has just started and knows only
+// itself.
+func New(cfg Config) *Node {
+	return &Node{
+		cfg:    cfg,
+		config: config.NewSet(),
+		view: membership.New(membership.Config{
+			Self: cfg.Self, Incarnation: cfg.Incarnation, Started: cfg.Started,
+		}),
+		calls:    map[string]*callState{},
+		sets:     map[candidateKey]*candidateSet{},
+		pickers:  map[string]*balance.Picker{},
+		policies: map[string]*retry.Policy{},
+		links:    newLinks(cfg.Self.AvailabilityZone),
+		runs:     map[string]*runState{},
+		gate:     admit.New(admit.Config{}),
+		meter:    measure.New(measure.Config{Rand: cfg.Rand}),
+	}
+}
+
+// Update takes in one message and returns what is to be done, in order.
+func (n *Node) Update(m Message, now time.Time) []Command {
+	woke := n.wake(now)
+	return append(woke, n.update(m, now)...)
+}
+
+func (n *Node) update(m Message, now time.Time) []Command {
+	switch m := m.(type) {
+	case CallerRequest:
+		return n.callerRequest(m, now)
+	case AttemptEnded:
+		return n.attemptEnded(m, now)
+	case HedgeDue:
+		return n.hedgeDue(m, now)
+	case CallerLeft:
+		return n.callerLeft(m, now)
+	case PeerRequest:
+		return n.peerRequest(m, now)
+	case RunEnded:
+		return n.runEnded(m, now)
+	case PeerLeft:
+		return n.peerLeft(m, now)
+	case ProbeEnded:
+		return n.probeEnded(m, now)
+	case DocumentRead:
+		return n.documentRead(m, now)
+	case InstancesRead:
+		n.view.MergeList(m.Entries, m.Version, now)
+		return nil
+	case Tick:
+		return n.tick(now)
+	case Shutdown:
+		return n.shutdown(now)
+	}
+	return nil
+}
+
+// wake notices that the process was paused before anything else is decided.
+func (n *Node) wake(now time.Time) []Command {
+	gap := n.view.Tick(now)
+	if gap == 0 {
+		return nil
+	}
+	n.config.Doubt()
+	text := "The process was paused for " + gap.Round(time.Millisecond).String() + "."
+	return []Command{Note{Part: "node", Text: text, Warn: true}}
+}
+
+// tick does what is due by time alone.
+func (n *Node) tick(now time.Time) []Command {
+	n.doubt = n.view.Doubt(now)
+	out := n.admit(n.gate.Tick(now), now)
+	out = append(out, n.limits(now)...)
+	return append(out, n.probe(now)...)
+}
+
+// shutdown refuses new work and tells the other daemons. What runs goes on to
+// its end, and callers are still served.
+func (n *Node) shutdown(now time.Time) []Command {
+	if n.stopping {
+		return nil
+	}
+	n.stopping = true
+	out := n.admit(n.gate.Drain(now), now)
+	if n.view.Leave(now) {
+		out = append(out, n.announce(now)...)
+	}
+	return out
+}
+
+// Idle reports whether no request is under way here.
+func (n *Node) Idle() bool {
+	return len(n.calls) == 0 && len(n.runs) == 0
+}
+
+func (n *Node) self() string { return n.cfg.Self.ID }
+
+const (
+	// fallbackTimeout and fallbackBody hold for services without a document,
+	// whose calls are refused once they have been read.
+	fallbackTimeout = 2 * time.Second
+	fallbackBody    = 1 << 20
+)
+
+// Timeout returns the longest deadline of a service's calls.
+func (n *Node) Timeout(service string) time.Duration {
+	if s, ok := n.config.Service(service); ok {
+		return s.Limits().Timeout()
+	}
+	return fallbackTimeout
+}
+
+// MaxBodyBytes returns the size of a service's longest request body.
+func (n *Node) MaxBodyBytes(service string) int64 {
+	if s, ok := n.config.Service(service); ok {
+		return s.Limits().MaxBodyBytes()
+	}
+	return fallbackBody
+}
