--- a/standin/answer.go
+++ b/standin/answer.go
@@ -22,6 +22,7 @@
 	headerWork        = "X-Work-Us"
 	headerCrash       = "X-Crash"
 	headerWorker      = "X-Worker"
+	headerHeld        = "X-Held-Us"
 )
 
 // Errors of an answer that is not the one asked for.
--- a/standin/exchange.go
+++ b/standin/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 
@@ -47,6 +48,8 @@
 	IntendedUs int64        `json:"intendedUs"`
 	StartUs    int64        `json:"startUs"`
 	EndUs      int64        `json:"endUs"`
+	// HeldUs is how long the worker had the request.
+	HeldUs int64 `json:"heldUs,omitempty"`
 }
 
 // Idempotent reports whether the request may run twice.
@@ -63,6 +66,7 @@
 	x.Worker = string(h.Peek(headerWorker))
 	x.Outcome = call.Outcome(h.Peek(call.HeaderOutcome))
 	x.Reason = call.Reason(h.Peek(call.HeaderReason))
+	x.HeldUs, _ = strconv.ParseInt(string(h.Peek(headerHeld)), 10, 64)
 	token := string(h.Peek(headerToken))
 	switch {
 	case token != "" && token != r.Token:
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +19,6 @@
 	defaultOpenTime    = time.Millisecond
 	defaultColdTime    = 5 * time.Second
 	coldFactor         = 10.0
-	jitterSigma        = 0.4
 	failFastTime       = 200 * time.Microsecond
 )
 
@@ -283,21 +280,3 @@
 	}
 	return Serving
 }
-
-// jitter draws service times around their mean by a log-normal distribution.
-type jitter struct {
-	mu  sync.Mutex
-	src *rand.Rand
-}
-
-func newJitter(seed uint64) *jitter {
-	return &jitter{src: rand.New(rand.NewPCG(seed, seed))}
-}
-
-// around returns a duration with the given mean.
-func (j *jitter) around(mean time.Duration) time.Duration {
-	j.mu.Lock()
-	normal := j.src.NormFloat64()
-	j.mu.Unlock()
-	return time.Duration(float64(mean) * math.Exp(jitterSigma*normal-jitterSigma*jitterSigma/2))
-}
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -83,6 +83,7 @@
 func (w *Worker) run(ctx *fasthttp.RequestCtx) {
 	w.inFlight.Add(1)
 	defer w.inFlight.Add(-1)
+	arrived := time.Now()
 	e := w.receive(ctx)
 	if e.Short {
 		w.record.end(w.record.start(e), fasthttp.StatusBadRequest, false, time.Now())
@@ -115,7 +116,9 @@
 	}
 	time.Sleep(w.workTime(ctx, factor))
 	w.respond(ctx, e)
-	w.record.end(place, fasthttp.StatusOK, false, time.Now())
+	now = time.Now()
+	ctx.Response.Header.Set(headerHeld, strconv.FormatInt(now.Sub(arrived).Microseconds(), 10))
+	w.record.end(place, fasthttp.StatusOK, false, now)
 }
 
 // receive reads the request's body in bounded memory and describes the request.
