--- a/standin/listener.go
+++ b/standin/listener.go
@@ -81,10 +81,7 @@
 	}
 	l.mu.Unlock()
 	for _, c := range open {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		reset(c)
 	}
 }
 
@@ -97,6 +94,15 @@
 	return c.Conn.Read(p)
 }
 
+// CloseWrite ends the sending half of the connection.
+func (c *conn) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.CloseWrite()
+}
+
 // Close closes the connection and forgets it.
 func (c *conn) Close() error {
 	c.owner.mu.Lock()
@@ -104,3 +110,15 @@
 	c.owner.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// reset closes a connection so that the other side sees a reset.
+func reset(c net.Conn) {
+	if tracked, ok := c.(*conn); ok {
+		defer func() { _ = tracked.Close() }()
+		c = tracked.Conn
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
