Join spread, membership and keys to the node

Cause: each daemon read the platform by itself, and orders with a key were refused. Documents and records now travel by spread; few daemons in each zone watch the platform. A keyed order goes to its key's home, whose book decides; its run is no longer cancelled when the caller leaves, so that a resend can be told how it ended.

--- a/call/header.go
+++ b/call/header.go
@@ -10,8 +10,15 @@
 	HeaderReason   = "Pomelodoor-Reason"
 	HeaderAttempt  = "Pomelodoor-Attempt"
 	HeaderCall     = "Pomelodoor-Call"
+	// HeaderBodyKept is "false" on the answer to a resend when the body of the
+	// first answer was too long to keep.
+	HeaderBodyKept = "Pomelodoor-Body-Kept"
 )
 
+// KeyPath is the path at which a caller asks for a key by POST. The answer's
+// body is the key.
+const KeyPath = "/.well-known/pomelodoor/key"
+
 // Headers that only daemons send to each other.
 const (
 	HeaderFrom        = "Pomelodoor-From"
--- a/call/request.go
+++ b/call/request.go
@@ -46,13 +46,24 @@
 	Attempt int
 	// Hops counts the daemons that have handed the request on.
 	Hops int
+	// Issue is true for a caller that asks for a key at KeyPath.
+	Issue bool
 	// Replayable is true when the whole body is held and can be sent again.
 	Replayable bool
 }
 
+// Keyed reports whether the request may run only by the word of its key's home.
+func (r Request) Keyed() bool {
+	return r.Key != "" && !r.Idempotent()
+}
+
 // Idempotent reports whether running the request twice is the same as running
 // it once, by the methods of RFC 9110, section 9.2.2.
 func (r Request) Idempotent() bool {
+	if r.Issue {
+		// A key that nobody uses costs nothing.
+		return true
+	}
 	switch r.Method {
 	case "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE":
 		return true
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -31,6 +31,8 @@
 			d.probing.start(d)
 		case node.CancelProbe:
 			d.probing.cancel()
+		case node.ReadPlatform:
+			d.loop(func() { d.readPlatform(c.Read) })
 		case node.Send:
 			d.control.Send(c.Address, c.Envelope)
 		case node.Note:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,8 @@
 	sweepEvery = 5 * time.Second
 	// idleCheck is how often a shutdown asks whether all work is done.
 	idleCheck = 20 * time.Millisecond
+	// farewellTime lets the last control messages leave.
+	farewellTime = 100 * time.Millisecond
 	// upstreamConns bounds the connections to the upstream until a document
 	// states the bound.
 	upstreamConns = 64
@@ -71,7 +73,6 @@
 	}
 	d.loop(d.tick)
 	d.loop(d.sweep)
-	d.loop(d.readPlatform)
 	d.part("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation)
 	return d, nil
 }
@@ -140,6 +141,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(time.Second))
 	defer cancel()
+	d.farewell()
 	err := d.callers.Shutdown(ctx)
 	if errPeer := d.fromPeer.Shutdown(ctx); err == nil {
 		err = errPeer
@@ -152,6 +154,15 @@
 	return nil
 }
 
+// farewell sends the last control messages and leaves them time to go out.
+func (d *Daemon) farewell() {
+	d.mu.Lock()
+	commands := d.node.Farewell(time.Now())
+	d.mu.Unlock()
+	d.execute(commands)
+	time.Sleep(farewellTime)
+}
+
 func (d *Daemon) idle() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -62,6 +62,16 @@
 // serve asks the node for admission, and runs the request on the own upstream
 // if that is granted.
 func (d *Daemon) serve(ctx context.Context, f ingress.Forwarded, req *fasthttp.Request) *answer {
+	if f.Request.Issue {
+		return d.issueKey(f)
+	}
+	if f.Request.Keyed() {
+		// The run goes on when the caller leaves, so that a resend can be told
+		// how it ended.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), f.Request.Deadline)
+		defer cancel()
+	}
 	id := f.Request.ID
 	box, fresh := d.runs.add(id)
 	if !fresh {
@@ -77,6 +87,20 @@
 	return a
 }
 
+// issueKey answers with a key that only this daemon lets run.
+func (d *Daemon) issueKey(f ingress.Forwarded) *answer {
+	d.mu.Lock()
+	key, ok := d.node.IssueKey(time.Now())
+	d.mu.Unlock()
+	if !ok || f.Target != d.self.ID {
+		return &answer{result: node.Attempt{Outcome: call.NotRun, Reason: call.Leaving}}
+	}
+	a := &answer{response: fasthttp.AcquireResponse()}
+	a.result = node.Attempt{Outcome: call.Run, Reason: call.Answered, Status: fasthttp.StatusOK}
+	a.response.SetBodyString(key)
+	return a
+}
+
 // await waits for the node's decision and carries it out.
 func (d *Daemon) await(ctx context.Context, box chan node.Command, request call.Request, req *fasthttp.Request) *answer {
 	left := ctx.Done()
@@ -85,7 +109,7 @@
 		case command := <-box:
 			switch command := command.(type) {
 			case node.Run:
-				return d.run(ctx, request, req)
+				return d.run(ctx, command, request, req)
 			case node.Refuse:
 				d.runs.remove(request.ID)
 				return refused(command)
@@ -104,15 +128,23 @@
 		a.response = fasthttp.AcquireResponse()
 		a.response.SetStatusCode(r.Status)
 		a.response.SetBody(r.Body)
+		if !r.Whole {
+			a.response.Header.Set(call.HeaderBodyKept, "false")
+		}
 	}
 	return a
 }
 
 // run sends the request to the own upstream. The slot is held until the answer
 // has been passed on.
-func (d *Daemon) run(ctx context.Context, request call.Request, req *fasthttp.Request) *answer {
+func (d *Daemon) run(ctx context.Context, r node.Run, request call.Request, req *fasthttp.Request) *answer {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	start := time.Now()
+	if !r.Before.IsZero() && !start.Before(r.Before) {
+		cancel()
+		d.ended(node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
+		return &answer{result: node.Attempt{Outcome: call.NotRun, Reason: call.Stale}}
+	}
 	ingress.WriteOnward(&req.Header, request, start)
 	resp := fasthttp.AcquireResponse()
 	err := d.upstream.Do(ctx, req, resp)
--- a/daemon/reader.go
+++ b/daemon/reader.go
@@ -1,56 +1,49 @@
 package daemon
 
 import (
-	"time"
+	"context"
+	"fmt"
 
 	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/node"
 	"pomelodoor.example/pomelodoor/platform"
+	"pomelodoor.example/pomelodoor/spread"
 )
 
-const (
-	platformWait  = time.Second
-	platformPause = 500 * time.Millisecond
-)
-
-// readPlatform keeps reading the platform's index and list.
-func (d *Daemon) readPlatform() {
-	d.loop(d.readIndex)
-	var after uint64
-	for d.ctx.Err() == nil {
-		list, err := d.platform.Instances(d.ctx, after, platformWait)
-		if err != nil {
-			d.pause(platformPause)
-			continue
-		}
-		after = list.Version
-		d.update(node.InstancesRead{Entries: entries(list.Instances), Version: list.Version})
+// readPlatform makes one read of the platform for the node.
+func (d *Daemon) readPlatform(read spread.Read) {
+	message, err := d.readOnce(d.ctx, read)
+	if err != nil {
+		d.part("platform").Debug("A read failed.", "kind", read.Kind, "error", err)
+		message = node.ReadFailed{Read: read}
 	}
+	d.update(message)
 }
 
-func (d *Daemon) readIndex() {
-	var after uint64
-	for d.ctx.Err() == nil {
-		index, err := d.platform.Index(d.ctx, after, platformWait)
+func (d *Daemon) readOnce(ctx context.Context, read spread.Read) (node.Message, error) {
+	switch read.Kind {
+	case spread.ReadIndex:
+		index, err := d.platform.Index(ctx, read.After, read.Wait)
 		if err != nil {
-			d.pause(platformPause)
-			continue
+			return nil, fmt.Errorf("watch the index: %w", err)
 		}
-		after = index.Version
+		keys := make([]spread.KeyVersion, 0, len(index.Keys))
 		for _, k := range index.Keys {
-			if body, _, err := d.platform.Value(d.ctx, k.Key); err == nil {
-				d.update(node.DocumentRead{Key: k.Key, Body: body})
-			}
+			keys = append(keys, spread.KeyVersion{Key: k.Key, Version: k.Version})
 		}
+		return node.IndexRead{Version: index.Version, Keys: keys}, nil
+	case spread.ReadInstances:
+		list, err := d.platform.Instances(ctx, read.After, read.Wait)
+		if err != nil {
+			return nil, fmt.Errorf("watch the instances: %w", err)
+		}
+		return node.InstancesRead{Entries: entries(list.Instances), Version: list.Version}, nil
 	}
-}
-
-// pause waits, but not longer than the daemon runs.
-func (d *Daemon) pause(wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-d.ctx.Done():
+	body, version, err := d.platform.Value(ctx, read.Key)
+	if err != nil {
+		return nil, fmt.Errorf("read a document: %w", err)
 	}
+	return node.ValueRead{Key: read.Key, Version: version, Body: body}, nil
 }
 
 // entries puts the platform's words into membership's.
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -44,6 +44,7 @@
 		Method:  string(h.Method()),
 		Key:     strings.Trim(string(h.Peek(call.HeaderKey)), `"`),
 	}
+	r.Issue = r.Method == fasthttp.MethodPost && string(ctx.Path()) == call.KeyPath
 	if r.Service == "" {
 		return r, fmt.Errorf("%w: no service in the Host header", ErrRequest)
 	}
--- a/node/admission.go
+++ b/node/admission.go
@@ -15,6 +15,10 @@
 	from    string
 	// started is zero while the request waits.
 	started time.Time
+	// granted is set once the book of keys has let the request run, which it
+	// must do before the time before.
+	granted bool
+	before  time.Time
 }
 
 // peerRequest lets a request run on the own upstream, or proves that it did
@@ -28,8 +32,31 @@
 		// The same attempt twice is a fault of the sender.
 		return []Command{Refuse{ID: id, Outcome: call.Unknown, Reason: call.InProgress}}
 	}
-	n.runs[id] = &runState{request: m.Request, from: m.From}
-	return n.admit(n.gate.Arrive(m.Request, now), now)
+	run := &runState{request: m.Request, from: m.From}
+	n.runs[id] = run
+	if run.request.Keyed() {
+		return n.decide(n.book.Begin(m.Request, now), now)
+	}
+	return n.arrive(run, now)
+}
+
+// arrive brings a request that may run to the gate.
+func (n *Node) arrive(run *runState, now time.Time) []Command {
+	request := run.request
+	if !run.before.IsZero() && run.before.Before(request.Deadline) {
+		request.Deadline = run.before
+	}
+	return n.admit(n.gate.Arrive(request, now), now)
+}
+
+// refuse ends a request that did not run here. A key that was let run is given
+// back, so that a resend may run.
+func (n *Node) refuse(run *runState, outcome call.Outcome, reason call.Reason, now time.Time) Command {
+	delete(n.runs, run.request.ID)
+	if run.granted {
+		n.settle(run, RunEnded{Outcome: outcome, Reason: reason}, now)
+	}
+	return Refuse{ID: run.request.ID, Outcome: outcome, Reason: reason}
 }
 
 // acceptable makes the checks that need nothing but this daemon's own state.
@@ -63,10 +90,9 @@
 		switch a.Kind {
 		case admit.Start:
 			run.started = now
-			out = append(out, Run{ID: a.CallID})
+			out = append(out, Run{ID: a.CallID, Before: run.before})
 		case admit.Refuse:
-			delete(n.runs, a.CallID)
-			out = append(out, Refuse{ID: a.CallID, Outcome: call.NotRun, Reason: a.Reason})
+			out = append(out, n.refuse(run, call.NotRun, a.Reason, now))
 		case admit.Cancel:
 			out = append(out, CancelRun{ID: a.CallID})
 		}
@@ -81,6 +107,7 @@
 		return nil
 	}
 	delete(n.runs, m.ID)
+	n.settle(run, m, now)
 	failed := m.Outcome != call.Run || faulty(m.Status)
 	n.own.Observe(m.Latency, failed, now)
 	service := m.Latency
@@ -92,7 +119,10 @@
 
 // peerLeft drops a request that nobody waits for.
 func (n *Node) peerLeft(m PeerLeft, now time.Time) []Command {
-	if n.runs[m.ID] == nil {
+	run := n.runs[m.ID]
+	if run == nil || run.request.Keyed() {
+		// What a key allows to run goes on to its end, so that a resend can
+		// be told how it ended.
 		return nil
 	}
 	return n.admit(n.gate.Leave(m.ID, now), now)
--- a/node/command.go
+++ b/node/command.go
@@ -6,6 +6,7 @@
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/peer"
+	"pomelodoor.example/pomelodoor/spread"
 )
 
 // Command is something to be done outside. The types in this file are all
@@ -52,6 +53,9 @@
 // Run sends a request to this daemon's own upstream.
 type Run struct {
 	ID string
+	// Before is the moment after which it must no longer be sent; zero means
+	// that only the request's deadline binds.
+	Before time.Time
 }
 
 // Refuse answers the sender of a PeerRequest that ends without a Run.
@@ -59,10 +63,12 @@
 	ID      string
 	Outcome call.Outcome
 	Reason  call.Reason
-	// Status and Body hold the answer kept from the first run when Reason is
-	// call.Replayed and the body was short enough to keep.
+	// Status is that of the first run's answer when Reason is call.Replayed
+	// and Outcome is call.Run. Body is its body when Whole is true; otherwise
+	// it was too long to keep.
 	Status int
 	Body   []byte
+	Whole  bool
 }
 
 // CancelRun ends a Run whose answer nobody waits for.
@@ -76,6 +82,12 @@
 // CancelProbe gives up the Probe under way.
 type CancelProbe struct{}
 
+// ReadPlatform reads the platform's service once. It is answered by IndexRead,
+// ValueRead, InstancesRead or ReadFailed.
+type ReadPlatform struct {
+	Read spread.Read
+}
+
 // Send sends a control message to another daemon's control address.
 type Send struct {
 	Address  string
@@ -101,5 +113,6 @@
 func (CancelRun) command()     {}
 func (Probe) command()         {}
 func (CancelProbe) command()   {}
+func (ReadPlatform) command()  {}
 func (Send) command()          {}
 func (Note) command()          {}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/once"
+	"pomelodoor.example/pomelodoor/spread"
+)
+
+// peerMessage takes in a control message of another daemon. One that cannot be
+// decoded, or that is meant for another instance, is dropped.
+func (n *Node) peerMessage(m PeerMessage, now time.Time) []Command {
+	e := m.Envelope
+	if e.To != n.cfg.Self.ID || e.From == n.cfg.Self.ID {
+		return nil
+	}
+	n.view.Heard(e.From, e.Incarnation, now)
+	switch e.Kind {
+	case kindSpread:
+		var body spread.Message
+		if json.Unmarshal(e.Body, &body) != nil || body.From != e.From {
+			return nil
+		}
+		return n.spreadActions(n.spread.Receive(body, now), now)
+	case kindLoad:
+		return n.siblingLoad(e.From, e.Body, now)
+	case kindHeartbeat:
+		var body once.Heartbeat
+		if json.Unmarshal(e.Body, &body) == nil {
+			n.book.Hear(body, now)
+		}
+	case kindClaim:
+		var body once.Claim
+		if json.Unmarshal(e.Body, &body) == nil {
+			return n.send(e.From, kindReply, n.book.Claim(body, now))
+		}
+	case kindReply:
+		var body once.Reply
+		if json.Unmarshal(e.Body, &body) == nil {
+			return n.decide(n.book.Reply(body, now), now)
+		}
+	}
+	return nil
+}
+
+const (
+	// siblingCount bounds the daemons that hear of this upstream's load.
+	siblingCount = 6
+	// loadEvery is the least time between two such reports.
+	loadEvery = 500 * time.Millisecond
+	// loadAtLeast is the longest time between two of them.
+	loadAtLeast = 5 * time.Second
+)
+
+// loadText is a load report as it travels by control message.
+type loadText struct {
+	Load string `json:"load"`
+}
+
+// tellSiblings reports this upstream's load to some daemons of its service,
+// when it has changed or long been told.
+func (n *Node) tellSiblings(now time.Time) []Command {
+	since := now.Sub(n.loadTold)
+	if since < loadEvery {
+		return nil
+	}
+	load := n.Load(now)
+	text := string(load.Append(nil))
+	if text == n.loadLast && since < loadAtLeast {
+		return nil
+	}
+	n.loadTold, n.loadLast = now, text
+	var out []Command
+	for _, r := range n.view.Siblings(siblingCount) {
+		out = append(out, n.send(r.ID, kindLoad, loadText{Load: text})...)
+	}
+	return out
+}
+
+// siblingLoad takes in the load of another upstream of the own service.
+func (n *Node) siblingLoad(from string, body json.RawMessage, now time.Time) []Command {
+	var text loadText
+	if json.Unmarshal(body, &text) != nil {
+		return nil
+	}
+	load, err := balance.ParseLoad([]byte(text.Load))
+	service, ok := n.config.Service(n.cfg.Self.Service)
+	if err == nil && ok {
+		n.picker(service).Heard(from, load, now)
+	}
+	return nil
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -1,47 +1,225 @@
 package node
 
 import (
+	"encoding/json"
+	"strconv"
+	"strings"
 	"time"
 
 	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/membership"
+	"pomelodoor.example/pomelodoor/peer"
+	"pomelodoor.example/pomelodoor/spread"
 )
 
-// documentRead puts a document in force if it is good and newer.
-func (n *Node) documentRead(m DocumentRead, now time.Time) []Command {
-	d, err := config.ParseKey("platform:"+m.Key, m.Key, m.Body)
+// The kinds of control message.
+const (
+	kindSpread    = "spread"
+	kindLoad      = "load"
+	kindHeartbeat = "once.heartbeat"
+	kindClaim     = "once.claim"
+	kindReply     = "once.reply"
+)
+
+// recordPrefix begins the keys under which membership records spread.
+const recordPrefix = "instances/"
+
+// readersPerZone is how many daemons of each availability zone watch the
+// platform.
+const readersPerZone = 2
+
+// newSpread joins the spreading of items to membership and configuration.
+func (n *Node) newSpread(now time.Time) *spread.State {
+	return spread.New(spread.Config{
+		Self:        n.cfg.Self.ID,
+		Incarnation: n.cfg.Incarnation,
+		Neighbours:  n.neighbourIDs,
+		Other:       n.anyOther,
+		Live:        n.view.LiveCount,
+		Reader:      func() bool { return n.view.Reader(readersPerZone) },
+		Readers:     func() int { return readersPerZone * n.view.ZoneCount() },
+		Rand:        n.cfg.Rand,
+		Version:     documentVersion,
+	}, now)
+}
+
+func (n *Node) neighbourIDs() []string {
+	var ids []string
+	for _, r := range n.view.Neighbours() {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
+// anyOther returns some live instance other than this one.
+func (n *Node) anyOther() string {
+	services := n.view.Services()
+	if len(services) == 0 {
+		return ""
+	}
+	service := services[n.cfg.Rand()%uint64(len(services))]
+	records := n.view.Serving(service)
+	if len(records) == 0 {
+		return ""
+	}
+	if r := records[n.cfg.Rand()%uint64(len(records))]; r.ID != n.cfg.Self.ID {
+		return r.ID
+	}
+	return ""
+}
+
+// documentVersion orders documents as config.Newer does: by revision, then for
+// switches by how few actions are allowed, then by digest.
+func documentVersion(key string, body []byte) (spread.Version, error) {
+	d, err := config.ParseKey("platform:"+key, key, body)
 	if err != nil {
-		n.config.Reject(m.Key, "platform:"+m.Key, err, now)
-		return []Command{Note{Part: "config", Text: "A document was refused. " + err.Error(), Warn: true}}
+		return spread.Version{}, err
 	}
-	changed, _ := n.config.Apply(d)
-	n.config.Confirm()
-	if !changed {
+	return versionOf(d), nil
+}
+
+func versionOf(d config.Document) spread.Version {
+	digest, _ := strconv.ParseUint(d.Digest(), 16, 64)
+	minor := digest >> digestShift
+	if s := d.Switches(); s != nil {
+		denied := len(config.Actions()) - len(s.Allowed())
+		if s.AllOff() {
+			denied = len(config.Actions())
+		}
+		minor |= uint64(denied) << (64 - digestShift)
+	}
+	return spread.Version{Major: d.Revision(), Minor: minor}
+}
+
+// digestShift leaves room above the digest for the number of denied actions.
+const digestShift = 8
+
+// spreadActions turns what spread asks for into commands.
+func (n *Node) spreadActions(actions []spread.Action, now time.Time) []Command {
+	var out []Command
+	for _, a := range actions {
+		switch a.Kind {
+		case spread.Send:
+			out = append(out, n.send(a.To, kindSpread, a.Message)...)
+		case spread.ReadPlatform:
+			out = append(out, ReadPlatform{Read: a.Read})
+		case spread.Deliver:
+			out = append(out, n.deliverItem(a.Item, now)...)
+		case spread.Refuse:
+			out = append(out, n.refuseItem(a.Item, a.Err, now)...)
+		}
+	}
+	return out
+}
+
+// send addresses a control message to an instance, if it is known.
+func (n *Node) send(to, kind string, body any) []Command {
+	r, ok := n.view.Lookup(to)
+	if !ok || r.Control == "" {
 		return nil
 	}
-	return n.limits(now)
+	text, err := json.Marshal(body)
+	if err != nil {
+		return []Command{Note{Part: "node", Text: "A control message could not be encoded. " + err.Error(), Warn: true}}
+	}
+	return []Command{Send{Address: r.Control, Envelope: peer.Envelope{
+		Kind: kind, From: n.cfg.Self.ID, Incarnation: n.cfg.Incarnation, To: to, Body: text,
+	}}}
 }
 
-// announce tells the other daemons of this one's own record.
-func (n *Node) announce(time.Time) []Command {
+// deliverItem takes in an item that is newer than any before it.
+func (n *Node) deliverItem(item spread.Item, now time.Time) []Command {
+	switch {
+	case strings.HasPrefix(item.Key, recordPrefix):
+		return n.mergeRecord(item, now)
+	case strings.HasPrefix(item.Key, spread.RefusedPrefix):
+		key := strings.TrimPrefix(item.Key, spread.RefusedPrefix)
+		_, err := config.ParseKey("platform:"+key, key, item.Body)
+		return n.rejectDocument(key, err, now)
+	}
+	d, err := config.ParseKey("platform:"+item.Key, item.Key, item.Body)
+	if err != nil {
+		return n.rejectDocument(item.Key, err, now)
+	}
+	changed, conflict := n.config.Apply(d)
+	out := []Command{}
+	if conflict {
+		text := "Two documents carry one revision: " + d.Key() + " revision " + strconv.FormatUint(d.Revision(), 10) + "."
+		out = append(out, Note{Part: "config", Text: text, Warn: true})
+	}
+	if changed {
+		text := "A document is in force: " + d.Key() + " revision " + strconv.FormatUint(d.Revision(), 10) + "."
+		out = append(out, Note{Part: "config", Text: text})
+		out = append(out, n.limits(now)...)
+	}
+	return out
+}
+
+func (n *Node) refuseItem(item spread.Item, err error, now time.Time) []Command {
+	if strings.HasPrefix(item.Key, recordPrefix) {
+		return nil
+	}
+	return n.rejectDocument(item.Key, err, now)
+}
+
+// rejectDocument keeps the last good document in force and remembers why.
+func (n *Node) rejectDocument(key string, err error, now time.Time) []Command {
+	if err == nil {
+		return nil
+	}
+	n.config.Reject(key, "platform:"+key, err, now)
+	return []Command{Note{Part: "config", Text: "A document was refused: " + key + ". " + err.Error(), Warn: true}}
+}
+
+// mergeRecord takes in a membership record that came by spread.
+func (n *Node) mergeRecord(item spread.Item, now time.Time) []Command {
+	var r membership.Record
+	if err := json.Unmarshal(item.Body, &r); err != nil || recordPrefix+r.ID != item.Key {
+		return []Command{Note{Part: "membership", Text: "A record could not be read.", Warn: true}}
+	}
+	self := n.view.Self()
+	if n.view.Merge(r, now) && n.view.Self() != self {
+		n.announce(now)
+	}
 	return nil
 }
 
-// Ready reports whether the daemon can serve calls to its own service.
-func (n *Node) Ready() bool {
-	_, ok := n.config.Service(n.cfg.Self.Service)
-	return ok && n.config.Confirmed() && !n.stopping
+// announce tells the other daemons of this one's own record.
+func (n *Node) announce(now time.Time) {
+	n.putRecord(n.view.Self(), now)
 }
 
-// Status describes the daemon to operators.
-func (n *Node) Status(time.Time) Status {
-	s := Status{Instance: n.cfg.Self.ID, Incarnation: n.cfg.Incarnation, Ready: n.Ready()}
-	for _, d := range n.config.Documents() {
-		s.Documents = append(s.Documents, DocumentStatus{Key: d.Key(), Revision: d.Revision(), Digest: d.Digest()})
+// putRecord spreads a record that this daemon found changed.
+func (n *Node) putRecord(r membership.Record, now time.Time) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return
 	}
-	for _, a := range config.Actions() {
-		if n.config.Allowed(a) {
-			s.Allowed = append(s.Allowed, a)
-		}
+	major, minor := r.Order()
+	_ = n.spread.Put(spread.Item{
+		Key:       recordPrefix + r.ID,
+		Version:   spread.Version{Major: major, Minor: minor},
+		Body:      body,
+		Tombstone: r.State == membership.Gone,
+	}, now)
+}
+
+// instancesRead takes in the platform's list and spreads what it changes.
+func (n *Node) instancesRead(m InstancesRead, now time.Time) []Command {
+	for _, r := range n.view.MergeList(m.Entries, m.Version, now) {
+		n.putRecord(r, now)
+	}
+	return n.spreadActions(n.spread.Instances(m.Version, now), now)
+}
+
+// confirm lets automatic actions begin once this daemon knows what the fleet
+// knows, and stops them while it does not.
+func (n *Node) confirm(now time.Time) {
+	switch confirmed := n.spread.Confirmed(now); {
+	case confirmed && !n.config.Confirmed():
+		n.config.Confirm()
+		n.view.Fresh()
+	case !confirmed && n.config.Confirmed():
+		n.config.Doubt()
 	}
-	return s
 }
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -71,8 +71,8 @@
 
 // choose names the upstream for the next attempt, or says why there is none.
 func (n *Node) choose(c *callState, now time.Time) (target string, reason call.Reason, ok bool) {
-	if c.keyed() {
-		return n.chooseHome(c, now)
+	if c.request.Keyed() {
+		return n.chooseHome(c)
 	}
 	set := n.candidates(c.service, c.selector)
 	i, ok := n.picker(c.service).Pick(set.list, c.tried, n.pickOptions(c), now)
@@ -238,11 +238,6 @@
 	}
 }
 
-// keyed reports whether the call must run at its key's home, at most once.
-func (c *callState) keyed() bool {
-	return c.request.Key != "" && !c.request.Idempotent()
-}
-
 // close takes an attempt off the open ones.
 func (c *callState) close(number int) (attempt, bool) {
 	for i, a := range c.open {
--- a/node/message.go
+++ b/node/message.go
@@ -7,6 +7,8 @@
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/measure"
 	"pomelodoor.example/pomelodoor/membership"
+	"pomelodoor.example/pomelodoor/peer"
+	"pomelodoor.example/pomelodoor/spread"
 )
 
 // Message is something that happened. The types in this file are all there
@@ -91,10 +93,27 @@
 	Err     error
 }
 
-// DocumentRead brings a document that the platform holds.
-type DocumentRead struct {
-	Key  string
-	Body []byte
+// PeerMessage brings a control message of another daemon.
+type PeerMessage struct {
+	Envelope peer.Envelope
+}
+
+// IndexRead brings the platform's index of changed keys.
+type IndexRead struct {
+	Version uint64
+	Keys    []spread.KeyVersion
+}
+
+// ValueRead brings a document that the platform holds at a version of its own.
+type ValueRead struct {
+	Key     string
+	Version uint64
+	Body    []byte
+}
+
+// ReadFailed says that a ReadPlatform brought nothing.
+type ReadFailed struct {
+	Read spread.Read
 }
 
 // InstancesRead brings the platform's list of instances.
@@ -117,7 +136,10 @@
 func (PeerLeft) message()      {}
 func (RunEnded) message()      {}
 func (ProbeEnded) message()    {}
-func (DocumentRead) message()  {}
+func (PeerMessage) message()   {}
+func (IndexRead) message()     {}
+func (ValueRead) message()     {}
+func (ReadFailed) message()    {}
 func (InstancesRead) message() {}
 func (Tick) message()          {}
 func (Shutdown) message()      {}
--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,9 @@
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/measure"
 	"pomelodoor.example/pomelodoor/membership"
+	"pomelodoor.example/pomelodoor/once"
 	"pomelodoor.example/pomelodoor/retry"
+	"pomelodoor.example/pomelodoor/spread"
 )
 
 // Config sets up a node.
@@ -29,6 +31,7 @@
 	cfg    Config
 	config *config.Set
 	view   *membership.View
+	spread *spread.State
 
 	// As ingress: the calls of callers, and what is known of upstreams.
 	calls    map[string]*callState
@@ -44,6 +47,17 @@
 	own   balance.Estimate
 	meter *measure.Meter
 
+	book *once.Book
+	// homes, bookView and lastBeat serve the book of keys.
+	homes    map[string]*homeSet
+	bookView uint64
+	lastBeat time.Time
+
+	// loadTold and loadLast are when siblings were last told of the load,
+	// and what.
+	loadTold time.Time
+	loadLast string
+
 	upstreamCold bool
 	// servingSince is when the upstream began to say that it serves.
 	servingSince time.Time
@@ -53,7 +67,7 @@
 // New returns the node of a daemon that has just started and knows only
 // itself.
 func New(cfg Config) *Node {
-	return &Node{
+	n := &Node{
 		cfg:    cfg,
 		config: config.NewSet(),
 		view: membership.New(membership.Config{
@@ -67,7 +81,16 @@
 		runs:     map[string]*runState{},
 		gate:     admit.New(admit.Config{}),
 		meter:    measure.New(measure.Config{Rand: cfg.Rand}),
+		homes:    map[string]*homeSet{},
+		book: once.New(once.Config{
+			Self:    once.Incarnation{ID: cfg.Self.ID, Number: cfg.Incarnation},
+			Started: cfg.Started,
+			Rand:    cfg.Rand,
+		}),
 	}
+	n.spread = n.newSpread(cfg.Started)
+	n.announce(cfg.Started)
+	return n
 }
 
 // Update takes in one message and returns what is to be done, in order.
@@ -94,16 +117,28 @@
 		return n.peerLeft(m, now)
 	case ProbeEnded:
 		return n.probeEnded(m, now)
-	case DocumentRead:
-		return n.documentRead(m, now)
-	case InstancesRead:
-		n.view.MergeList(m.Entries, m.Version, now)
-		return nil
 	case Tick:
 		return n.tick(now)
 	case Shutdown:
 		return n.shutdown(now)
 	}
+	return n.updateFleet(m, now)
+}
+
+// updateFleet takes in what concerns the fleet rather than one request.
+func (n *Node) updateFleet(m Message, now time.Time) []Command {
+	switch m := m.(type) {
+	case PeerMessage:
+		return n.peerMessage(m, now)
+	case IndexRead:
+		return n.spreadActions(n.spread.Index(m.Version, m.Keys, now), now)
+	case ValueRead:
+		return n.spreadActions(n.spread.Value(m.Key, m.Version, m.Body, now), now)
+	case InstancesRead:
+		return n.instancesRead(m, now)
+	case ReadFailed:
+		return n.spreadActions(n.spread.Failed(m.Read, now), now)
+	}
 	return nil
 }
 
@@ -115,14 +150,21 @@
 	}
 	n.config.Doubt()
 	text := "The process was paused for " + gap.Round(time.Millisecond).String() + "."
-	return []Command{Note{Part: "node", Text: text, Warn: true}}
+	out := []Command{Note{Part: "node", Text: text, Warn: true}}
+	return append(out, n.spreadActions(n.spread.Woke(now), now)...)
 }
 
 // tick does what is due by time alone.
 func (n *Node) tick(now time.Time) []Command {
 	n.doubt = n.view.Doubt(now)
 	out := n.admit(n.gate.Tick(now), now)
+	if !now.Before(n.spread.WakeAt()) {
+		out = append(out, n.spreadActions(n.spread.Tick(now), now)...)
+	}
+	n.confirm(now)
 	out = append(out, n.limits(now)...)
+	out = append(out, n.keepBook(now)...)
+	out = append(out, n.tellSiblings(now)...)
 	return append(out, n.probe(now)...)
 }
 
@@ -134,10 +176,26 @@
 	}
 	n.stopping = true
 	out := n.admit(n.gate.Drain(now), now)
+	n.book.Leave()
 	if n.view.Leave(now) {
-		out = append(out, n.announce(now)...)
+		n.announce(now)
+	}
+	return append(out, n.spreadActions(n.spread.Tick(now), now)...)
+}
+
+// Farewell returns the last messages of a daemon whose work is done: its keys
+// go to the other homes, and its record says that it is gone.
+func (n *Node) Farewell(now time.Time) []Command {
+	var out []Command
+	audience := n.book.Audience()
+	last := n.book.Retire(now)
+	for _, id := range audience {
+		out = append(out, n.send(id, kindHeartbeat, last)...)
+	}
+	if n.view.Finish(now) {
+		n.announce(now)
 	}
-	return out
+	return append(out, n.spreadActions(n.spread.Tick(now), now)...)
 }
 
 // Idle reports whether no request is under way here.
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -57,9 +57,9 @@
 	out := n.admit(n.gate.Drain(now), now)
 	out = append(out, Note{Part: "admit", Text: "The upstream is draining. No new work is accepted.", Warn: true})
 	if n.view.UpstreamLeaving(now) {
-		out = append(out, n.announce(now)...)
+		n.announce(now)
 	}
-	return out
+	return append(out, n.spreadActions(n.spread.Tick(now), now)...)
 }
 
 // upstreamReturns accepts work again.
@@ -67,7 +67,7 @@
 	n.gate.Open()
 	out := []Command{Note{Part: "admit", Text: "The upstream serves again."}}
 	if n.view.UpstreamReturned(now) {
-		out = append(out, n.announce(now)...)
+		n.announce(now)
 	}
-	return out
+	return append(out, n.spreadActions(n.spread.Tick(now), now)...)
 }
