--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -98,7 +98,7 @@
 	}
 	defer caller.Close()
 	fmt.Printf("calling %s %v times a second for %v; %s is %d times slower from %v to %v\n", demoService,
-		a.Rate, a.Duration, fleet.Members[0].Instance.ID, slowFactor, a.Duration/3, 2*a.Duration/3)
+		a.Rate, a.Duration, fleet.Members[0].Instance.ID, slowFactor, (a.Duration / 3).Round(time.Millisecond), (2 * a.Duration / 3).Round(time.Millisecond))
 	slow := make(chan error, 1)
 	go func() { slow <- a.slow(ctx, fleet.Members[0].Worker) }()
 	result := caller.Run(ctx)
