--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -6,10 +6,8 @@
 )
 
 const (
-	// riseWeight and fallWeight are the shares of one new latency that is
-	// above or below the estimate.
-	riseWeight = 0.3
-	fallWeight = 0.1
+	// latencyWeight is the share of one new latency in the estimate.
+	latencyWeight = 0.05
 	// failWeight is the share of one new result in the failed share.
 	failWeight = 0.2
 	// failLife is the time in which an old failed share loses 63 %.
@@ -17,8 +15,7 @@
 )
 
 // Estimate follows the latency and the failed share of one upstream's calls.
-// It rises faster than it falls, after the peak-sensitive moving average of
-// Finagle's Peak EWMA balancer. The zero value knows nothing.
+// The zero value knows nothing.
 //
 // A daemon keeps one for its own upstream to fill in its Load, and a Picker
 // keeps one for each upstream that it sends calls to.
@@ -44,14 +41,11 @@
 }
 
 func (e *Estimate) follow(latency float64) {
-	switch {
-	case e.latency == 0:
+	if e.latency == 0 {
 		e.latency = latency
-	case latency > e.latency:
-		e.latency += riseWeight * (latency - e.latency)
-	default:
-		e.latency += fallWeight * (latency - e.latency)
+		return
 	}
+	e.latency += latencyWeight * (latency - e.latency)
 }
 
 // Latency returns the estimate, or 0 when no call has succeeded. A call that
