--- a/config/document.go
+++ b/config/document.go
@@ -96,7 +96,7 @@
 	}
 	d := r.document(root)
 	if key != "" && d.key != "" && d.key != key {
-		r.fault(root.line, "", "belongs under the key %s, found under %s", d.key, clip(key))
+		r.fault(root.line, "", "belongs under the key %s, found under %q", d.key, clip(key))
 	}
 	if err := r.err(d.revision); err != nil {
 		return Document{}, err
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 
 	"pomelodoor.example/pomelodoor/config"
@@ -43,6 +44,9 @@
 	if !errors.As(err, &invalid) || !errors.Is(err, config.ErrInvalid) || len(invalid.Faults()) == 0 {
 		t.Fatalf("error %v has no faults", err)
 	}
+	if got := strings.Count(config.FormatFaults(err), "\n"); got != len(invalid.Faults()) {
+		t.Fatalf("%d lines for %d faults", got, len(invalid.Faults()))
+	}
 	lines := 1 + bytes.Count(data, []byte("\n"))
 	for _, fault := range invalid.Faults() {
 		if fault.File != "f.json" || fault.Line < 1 || fault.Line > lines || fault.Field == "" || fault.Text == "" {
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -47,43 +47,46 @@
 		text string
 		want []string // line: field: start of the text
 	}{
-		"empty":             {"", []string{`1: document: unexpected end`}},
-		"not an object":     {"\n[]", []string{`2: document: is of type list`}},
-		"text after":        {lines(`{}`, ``, `{}`), []string{`3: document: invalid character '{' after`}},
-		"broken line":       {lines(`{"kind":"switches",`, `"revision":1,}`), []string{`2: document: invalid character '}'`}},
-		"not UTF-8":         {lines(`{`, `"kind":"`+"\xff"+`"}`), []string{`2: document: text is not UTF-8`}},
-		"too deep":          {strings.Repeat("[", 17) + strings.Repeat("]", 17), []string{`1: document: values nest deeper`}},
-		"too large":         {strings.Repeat(" ", config.MaxBytes) + "{}", []string{`1: document: has 65538 bytes`}},
-		"nothing":           {"{}", []string{`1: kind: is missing`, `1: revision: is missing`}},
-		"other kind":        {`{"kind":"pool","revision":1}`, []string{`1: kind: "pool" is no kind`}},
-		"upper case":        {lines(`{"kind":"switches","revision":1,`, `"AllOff":true}`), []string{`2: AllOff: unknown field`}},
-		"null":              {`{"kind":"switches","revision":1,"allOff":null}`, []string{`1: allOff: is of type null, want boolean`}},
-		"name twice":        {lines(`{"kind":"switches","revision":1,`, `"allOff":true,`, `"allOff":false}`), []string{`3: allOff: stands twice`}},
-		"revision 0":        {`{"kind":"switches","revision":0}`, []string{`1: revision: is 0, want a whole number from 1`}},
-		"revision 1.5":      {`{"kind":"switches","revision":1.5}`, []string{`1: revision: is 1.5, want`}},
-		"revision -1":       {`{"kind":"switches","revision":-1}`, []string{`1: revision: is -1, want`}},
-		"revision huge":     {`{"kind":"switches","revision":9007199254740992}`, []string{`1: revision: is 9007199254740992, want`}},
-		"no action":         {`{"kind":"switches","revision":1,"allow":["retry","Retry"]}`, []string{`1: allow[1]: "Retry" is no action`}},
-		"action twice":      {`{"kind":"switches","revision":1,"allow":["retry","retry"]}`, []string{`1: allow[1]: "retry" stands twice`}},
-		"service field":     {`{"kind":"switches","revision":1,"limits":{}}`, []string{`1: limits: unknown field`}},
-		"service case":      {`{"kind":"service","revision":1,"service":"Faults"}`, []string{`1: service: "Faults" is not a host name`}},
-		"star inside":       {service(`,"selectors":[{"name":"x","callers":["a*b"]}]`), []string{`1: selectors[0].callers[0]: "a*b" has a *`}},
-		"no callers":        {service(`,"selectors":[{"name":"x","callers":[]}]`), []string{`1: selectors[0].callers: is empty`}},
-		"selector unnamed":  {service(`,"selectors":[{}]`), []string{`1: selectors[0].name: is missing`}},
-		"selector twice":    {service(`,"selectors":[{"name":"x"},` + "\n" + `{"name":"x"}]`), []string{`2: selectors[1].name: the name "x" stands twice`}},
-		"label nobody has":  {service(`,"labels":[{"set":{"pool":"a"}}],"selectors":[{"name":"x","upstreams":{` + "\n" + `"pool":"b"}}]`), []string{`2: selectors[0].upstreams.pool: no rule in labels sets pool to "b"`}},
-		"label twice":       {service(`,"labels":[{"set":{"p":"a","p":"b"}}]`), []string{`1: labels[0].set.p: stands twice`}},
-		"no label":          {service(`,"labels":[{"instances":["a"]}]`), []string{`1: labels[0].set: sets no label`}},
-		"label value":       {service(`,"labels":[{"set":{"p":"a b"}}]`), []string{`1: labels[0].set.p: "a b" holds the character ' '`}},
-		"long name":         {service(`,"labels":[{"set":{"p":"` + strings.Repeat("x", 129) + `"}}]`), []string{`1: labels[0].set.p: "xxx`}},
-		"priority":          {service(`,"priorities":[{"priority":"urgent"}]`), []string{`1: priorities[0].priority: "urgent" is no priority`}},
-		"too few slots":     {service(`,"limits":{"slots":0}`), []string{`1: limits.slots: is 0`}},
-		"connections":       {service(`,"limits":{"slots":12,` + "\n" + `"connections":11}`), []string{`2: limits.connections: is 11, below the 12 slots`}},
-		"all ejected":       {service(`,"budgets":{"ejectPercent":100}`), []string{`1: budgets.ejectPercent: is 100, want a number from 0 to 50`}},
-		"no error budget":   {service(`,"serviceLevel":{"availability":100}`), []string{`1: serviceLevel.availability: is 100`}},
-		"number too large":  {service(`,"budgets":{"retryPercent":1e999}`), []string{`1: budgets.retryPercent: is 1e999`}},
-		"number as a text":  {service(`,"budgets":{"hedgePercent":"2"}`), []string{`1: budgets.hedgePercent: is of type string`}},
-		"several at a time": {lines(`{"kind":"service",`, `"service":"",`, `"limits":{"queue":-1,"slot":1},`, `"selectors":{}}`), []string{`1: revision: is missing`, `2: service: "" is empty`, `3: limits.slot: unknown field`, `3: limits.queue: is -1`, `4: selectors: is of type object`}},
+		"empty":              {"", []string{`1: document: unexpected end`}},
+		"not an object":      {"\n[]", []string{`2: document: is of type list`}},
+		"text after":         {lines(`{}`, ``, `{}`), []string{`3: document: invalid character '{' after`}},
+		"broken line":        {lines(`{"kind":"switches",`, `"revision":1,}`), []string{`2: document: invalid character '}'`}},
+		"not UTF-8":          {lines(`{`, `"kind":"`+"\xff"+`"}`), []string{`2: document: text is not UTF-8`}},
+		"too deep":           {strings.Repeat("[", 17) + strings.Repeat("]", 17), []string{`1: document: values nest deeper`}},
+		"too large":          {strings.Repeat(" ", config.MaxBytes) + "{}", []string{`1: document: has 65538 bytes`}},
+		"nothing":            {"{}", []string{`1: kind: is missing`, `1: revision: is missing`}},
+		"other kind":         {`{"kind":"pool","revision":1}`, []string{`1: kind: "pool" is no kind`}},
+		"upper case":         {lines(`{"kind":"switches","revision":1,`, `"AllOff":true}`), []string{`2: AllOff: unknown field`}},
+		"null":               {`{"kind":"switches","revision":1,"allOff":null}`, []string{`1: allOff: is of type null, want boolean`}},
+		"name twice":         {lines(`{"kind":"switches","revision":1,`, `"allOff":true,`, `"allOff":false}`), []string{`3: allOff: stands twice`}},
+		"revision 0":         {`{"kind":"switches","revision":0}`, []string{`1: revision: is 0, want a whole number from 1`}},
+		"revision 1.5":       {`{"kind":"switches","revision":1.5}`, []string{`1: revision: is 1.5, want`}},
+		"revision -1":        {`{"kind":"switches","revision":-1}`, []string{`1: revision: is -1, want`}},
+		"revision huge":      {`{"kind":"switches","revision":9007199254740992}`, []string{`1: revision: is 9007199254740992, want`}},
+		"no action":          {`{"kind":"switches","revision":1,"allow":["retry","Retry"]}`, []string{`1: allow[1]: "Retry" is no action`}},
+		"action twice":       {`{"kind":"switches","revision":1,"allow":["retry","retry"]}`, []string{`1: allow[1]: "retry" stands twice`}},
+		"service field":      {`{"kind":"switches","revision":1,"limits":{}}`, []string{`1: limits: unknown field`}},
+		"service case":       {`{"kind":"service","revision":1,"service":"Faults"}`, []string{`1: service: "Faults" is not a host name`}},
+		"service path":       {`{"kind":"service","revision":1,"service":".."}`, []string{`1: service: ".." has a part that is empty`}},
+		"service dash":       {`{"kind":"service","revision":1,"service":"a.b-"}`, []string{`1: service: "a.b-" has a part that is empty or`}},
+		"line break in name": {`{"kind":"switches","revision":1,"a\n\u001b":1}`, []string{`1: "a\n\x1b": unknown field`}},
+		"star inside":        {service(`,"selectors":[{"name":"x","callers":["a*b"]}]`), []string{`1: selectors[0].callers[0]: "a*b" has a *`}},
+		"no callers":         {service(`,"selectors":[{"name":"x","callers":[]}]`), []string{`1: selectors[0].callers: is empty`}},
+		"selector unnamed":   {service(`,"selectors":[{}]`), []string{`1: selectors[0].name: is missing`}},
+		"selector twice":     {service(`,"selectors":[{"name":"x"},` + "\n" + `{"name":"x"}]`), []string{`2: selectors[1].name: the name "x" stands twice`}},
+		"label nobody has":   {service(`,"labels":[{"set":{"pool":"a"}}],"selectors":[{"name":"x","upstreams":{` + "\n" + `"pool":"b"}}]`), []string{`2: selectors[0].upstreams.pool: no rule in labels sets pool to "b"`}},
+		"label twice":        {service(`,"labels":[{"set":{"p":"a","p":"b"}}]`), []string{`1: labels[0].set.p: stands twice`}},
+		"no label":           {service(`,"labels":[{"instances":["a"]}]`), []string{`1: labels[0].set: sets no label`}},
+		"label value":        {service(`,"labels":[{"set":{"p":"a b"}}]`), []string{`1: labels[0].set.p: "a b" holds the character ' '`}},
+		"long name":          {service(`,"labels":[{"set":{"p":"` + strings.Repeat("x", 129) + `"}}]`), []string{`1: labels[0].set.p: "xxx`}},
+		"priority":           {service(`,"priorities":[{"priority":"urgent"}]`), []string{`1: priorities[0].priority: "urgent" is no priority`}},
+		"too few slots":      {service(`,"limits":{"slots":0}`), []string{`1: limits.slots: is 0`}},
+		"connections":        {service(`,"limits":{"slots":12,` + "\n" + `"connections":11}`), []string{`2: limits.connections: is 11, below the 12 slots`}},
+		"all ejected":        {service(`,"budgets":{"ejectPercent":100}`), []string{`1: budgets.ejectPercent: is 100, want a number from 0 to 50`}},
+		"no error budget":    {service(`,"serviceLevel":{"availability":100}`), []string{`1: serviceLevel.availability: is 100`}},
+		"number too large":   {service(`,"budgets":{"retryPercent":1e999}`), []string{`1: budgets.retryPercent: is 1e999`}},
+		"number as a text":   {service(`,"budgets":{"hedgePercent":"2"}`), []string{`1: budgets.hedgePercent: is of type string`}},
+		"several at a time":  {lines(`{"kind":"service",`, `"service":"",`, `"limits":{"queue":-1,"slot":1},`, `"selectors":{}}`), []string{`1: revision: is missing`, `2: service: "" is empty`, `3: limits.slot: unknown field`, `3: limits.queue: is -1`, `4: selectors: is of type object`}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -121,7 +124,7 @@
 		t.Error(err)
 	}
 	_, err := config.ParseKey("f.json", "services/orders", []byte(faultsDocument))
-	want := "f.json:1: document: belongs under the key services/faults, found under services/orders\n"
+	want := "f.json:1: document: belongs under the key services/faults, found under \"services/orders\"\n"
 	if got := config.FormatFaults(fmt.Errorf("read: %w", err)); got != want {
 		t.Errorf("got %q", got)
 	}
@@ -175,6 +178,9 @@
 	if want := "8 160 16 10s 16777216 1 10 2 34 7000 99.9 500ms 99"; got != want {
 		t.Errorf("got %s, want %s", got, want)
 	}
+	if level != config.DefaultLevel() {
+		t.Errorf("default level %+v", config.DefaultLevel())
+	}
 	if l := mustParse(t, faultsDocument).Service().Limits(); l.Queue() != 24 || l.Timeout() != 10*time.Second {
 		t.Errorf("limits %+v", l)
 	}
--- a/config/pattern.go
+++ b/config/pattern.go
@@ -72,5 +72,10 @@
 			return "is not a host name of a-z, 0-9, - and ."
 		}
 	}
+	for part := range strings.SplitSeq(text, ".") {
+		if part == "" || part[0] == '-' || part[len(part)-1] == '-' {
+			return "has a part that is empty or starts or ends with -"
+		}
+	}
 	return ""
 }
--- a/config/reader.go
+++ b/config/reader.go
@@ -58,7 +58,7 @@
 	r.unique(n, path)
 	for _, m := range n.members {
 		if !slices.Contains(names, m.name) {
-			r.fault(m.line, join(path, clip(m.name)), "unknown field")
+			r.fault(m.line, join(path, shown(m.name)), "unknown field")
 		}
 	}
 	return o
@@ -77,7 +77,7 @@
 	seen := make(map[string]bool, len(n.members))
 	for _, m := range n.members {
 		if seen[m.name] {
-			r.fault(m.line, join(path, clip(m.name)), "stands twice")
+			r.fault(m.line, join(path, shown(m.name)), "stands twice")
 		}
 		seen[m.name] = true
 	}
@@ -200,6 +200,15 @@
 	return path + "[" + strconv.Itoa(i) + "]"
 }
 
+// shown returns a name of a document as it stands in the path of a field:
+// quoted if it holds what would break a line of the report.
+func shown(name string) string {
+	if checkName(name) != "" {
+		name = strconv.Quote(name)
+	}
+	return clip(name)
+}
+
 // clip shortens text of a document that is shown in a fault.
 func clip(text string) string {
 	const most = 60
--- a/config/service_parse.go
+++ b/config/service_parse.go
@@ -79,8 +79,8 @@
 	for _, want := range sel.upstreams {
 		if !s.sets(want) {
 			line := upstreams.lineOf(want.name)
-			path := join(o.at("upstreams"), clip(want.name))
-			r.fault(line, path, "no rule in labels sets %s to %q", clip(want.name), clip(want.value))
+			path := join(o.at("upstreams"), shown(want.name))
+			r.fault(line, path, "no rule in labels sets %s to %q", shown(want.name), clip(want.value))
 		}
 	}
 }
@@ -119,7 +119,7 @@
 	o.r.unique(n, o.at(name))
 	labels := make([]label, 0, len(n.members))
 	for _, m := range n.members {
-		path := join(o.at(name), clip(m.name))
+		path := join(o.at(name), shown(m.name))
 		if wrong := checkName(m.name); wrong != "" {
 			o.r.fault(m.line, path, "the name %s", wrong)
 		}
