--- a/cmd/pomelodoor/main.go
+++ b/cmd/pomelodoor/main.go
@@ -36,6 +36,7 @@
 	Check   *checkCommand    `arg:"subcommand:check" help:"check documents before they are published"`
 	Explain *explainCommand  `arg:"subcommand:explain" help:"show which upstreams serve a caller"`
 	Status  *statusCommand   `arg:"subcommand:status" help:"show what is in force at running daemons"`
+	Burn    *burnCommand     `arg:"subcommand:burn" help:"show the service-level burn of running daemons"`
 	Version *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -82,6 +83,8 @@
 		return a.Explain.run(out)
 	case a.Status != nil:
 		return a.Status.run(out)
+	case a.Burn != nil:
+		return a.Burn.run(out)
 	}
 	return a.Version.run(out)
 }
--- a/cmd/pomelodoor/run.go
+++ b/cmd/pomelodoor/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"expvar"
 	"fmt"
 	"io"
 	"os"
@@ -19,10 +20,11 @@
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	d, err := daemon.Start(*settings, newLogger(settings, logTo))
+	d, err := daemon.Start(*settings, newLogger(settings, logTo), daemon.Seams{})
 	if err != nil {
 		return fmt.Errorf("start the daemon: %w", err)
 	}
+	expvar.Publish("pomelodoor", d.Vars())
 	<-stop
 	if err := d.Shutdown(); err != nil {
 		return fmt.Errorf("stop the daemon: %w", err)
--- a/cmd/pomelodoor/status.go
+++ b/cmd/pomelodoor/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -92,8 +93,11 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return fmt.Errorf("ask %s: %w: status %d", address, errAdmin, resp.StatusCode())
 	}
-	body := resp.Body()
-	if err := json.Unmarshal(body, v); err != nil {
+	var body bytes.Buffer
+	if err := resp.BodyWriteTo(&body); err != nil {
+		return fmt.Errorf("ask %s: %w", address, err)
+	}
+	if err := json.Unmarshal(body.Bytes(), v); err != nil {
 		return fmt.Errorf("ask %s: %w", address, err)
 	}
 	return nil
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -60,8 +60,8 @@
 		waiting: waiting, open: map[int]*outgoing{},
 	}
 	d.update(node.CallerRequest{Request: request})
-	outcome := c.serve(done)
-	d.record(request.Service, outcome, ctx.Response.StatusCode(), time.Since(now))
+	outcome, reason := c.serve(done)
+	d.record(request.Service, outcome, reason, ctx.Response.StatusCode(), time.Since(now))
 }
 
 // readCaller parses a request and holds its body if that is short.
@@ -99,13 +99,13 @@
 
 // serve carries out the node's commands until one ends the call. The function
 // done stops the watch on the caller's connection.
-func (c *callerCall) serve(done func()) call.Outcome {
+func (c *callerCall) serve(done func()) (call.Outcome, call.Reason) {
 	left := c.waiting.Done()
 	for {
 		select {
 		case command := <-c.box:
-			if outcome, ended := c.carryOut(command, done); ended {
-				return outcome
+			if outcome, reason, ended := c.carryOut(command, done); ended {
+				return outcome, reason
 			}
 		case <-left:
 			// The attempts end by the same context, and their ends decide.
@@ -115,14 +115,14 @@
 				c.attempts.Wait()
 				done()
 				ingress.Refuse(c.ctx, call.Unknown, call.Cancelled, "the caller has gone")
-				return call.Unknown
+				return call.Unknown, call.Cancelled
 			}
 		}
 	}
 }
 
 // carryOut does one command, and reports whether it ended the call.
-func (c *callerCall) carryOut(command node.Command, done func()) (call.Outcome, bool) {
+func (c *callerCall) carryOut(command node.Command, done func()) (call.Outcome, call.Reason, bool) {
 	switch command := command.(type) {
 	case node.Forward:
 		c.forward(command)
@@ -133,11 +133,12 @@
 		done()
 		ingress.Refuse(c.ctx, command.Outcome, command.Reason, explain(command.Reason))
 		c.ctx.Response.Header.Set(call.HeaderCall, c.request.ID)
-		return command.Outcome, true
+		return command.Outcome, command.Reason, true
 	case node.Deliver:
-		return c.deliver(command.Number, done), true
+		outcome, reason := c.deliver(command.Number, done)
+		return outcome, reason, true
 	}
-	return "", false
+	return "", "", false
 }
 
 // forward starts one attempt. The request is copied here, because the handler's
@@ -175,7 +176,7 @@
 
 // deliver passes one attempt's answer on, and drops those of the others. The
 // watch on the caller goes on until the body has been passed on.
-func (c *callerCall) deliver(number int, done func()) call.Outcome {
+func (c *callerCall) deliver(number int, done func()) (call.Outcome, call.Reason) {
 	c.mu.Lock()
 	chosen := c.open[number]
 	for n, other := range c.open {
@@ -199,7 +200,7 @@
 	})
 	ingress.SetOutcome(c.ctx, a.result.Outcome, a.result.Reason)
 	c.ctx.Response.Header.Set(call.HeaderCall, c.request.ID)
-	return a.result.Outcome
+	return a.result.Outcome, a.result.Reason
 }
 
 // explain puts a reason into a sentence.
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -12,6 +12,10 @@
 	for _, c := range commands {
 		switch c := c.(type) {
 		case node.Forward:
+			d.metrics.attempts.Add(1)
+			if c.Number > 1 {
+				d.metrics.further.Add(1)
+			}
 			d.calls.put(c.ID, c)
 		case node.CancelForward:
 			d.calls.put(c.ID, c)
@@ -28,6 +32,7 @@
 		case node.CancelRun:
 			d.runs.put(c.ID, c)
 		case node.Probe:
+			d.metrics.probes.Add(1)
 			d.probing.start(d)
 		case node.CancelProbe:
 			d.probing.cancel()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"pomelodoor.example/pomelodoor/burn"
 	"pomelodoor.example/pomelodoor/exchange"
 	"pomelodoor.example/pomelodoor/ingress"
 	"pomelodoor.example/pomelodoor/membership"
@@ -31,6 +33,15 @@
 	upstreamConns = 64
 )
 
+// Seams replace parts of a daemon in tests and experiments. The zero value
+// replaces nothing.
+type Seams struct {
+	// Dial opens connections to other daemons' peer addresses.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Choose picks upstreams in place of package balance.
+	Choose node.Choose
+}
+
 // Daemon is one running pomelodoor process.
 type Daemon struct {
 	settings    Settings
@@ -55,6 +66,10 @@
 	fromPeer *ingress.Server
 	admin    *ingress.Server
 
+	metrics *metrics
+	burnMu  sync.Mutex
+	burn    *burn.Burn
+
 	probing *probing
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -62,11 +77,11 @@
 }
 
 // Start opens the daemon's ports and begins to work.
-func Start(settings Settings, logger *log.Logger) (*Daemon, error) {
+func Start(settings Settings, logger *log.Logger, seams Seams) (*Daemon, error) {
 	if err := settings.Check(); err != nil {
 		return nil, fmt.Errorf("check settings: %w", err)
 	}
-	d := newDaemon(settings, logger)
+	d := newDaemon(settings, logger, seams)
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, fmt.Errorf("open ports: %w", err)
@@ -77,7 +92,7 @@
 	return d, nil
 }
 
-func newDaemon(settings Settings, logger *log.Logger) *Daemon {
+func newDaemon(settings Settings, logger *log.Logger, seams Seams) *Daemon {
 	started := time.Now()
 	self := membership.Instance{
 		ID: settings.Instance, Service: settings.Service,
@@ -88,16 +103,21 @@
 	// next.
 	incarnation := uint64(started.UnixNano())
 	ctx, stop := context.WithCancel(context.Background())
-	return &Daemon{
+	d := &Daemon{
 		settings: settings, log: logger, self: self, incarnation: incarnation, started: started,
-		node:  node.New(node.Config{Self: self, Incarnation: incarnation, Started: started, Rand: rand.Uint64}),
+		node: node.New(node.Config{
+			Self: self, Incarnation: incarnation, Started: started, Rand: rand.Uint64, Choose: seams.Choose,
+		}),
 		calls: newBoxes(), runs: newBoxes(), watch: ingress.NewWatch(),
 		upstream: exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: upstreamConns}),
-		peers:    newPools(),
+		peers:    newPools(seams.Dial),
 		platform: platform.New(platform.Config{Addresses: settings.Platform}),
 		probing:  &probing{},
 		ctx:      ctx, stop: stop,
 	}
+	d.burn = burn.New(burn.Config{Instance: settings.Instance, Level: d.level})
+	d.metrics = newMetrics(d)
+	return d
 }
 
 func (d *Daemon) listen() (err error) {
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/config"
 )
 
 // longestWait is the longest deadline of a service's calls.
@@ -20,5 +21,24 @@
 	return d.node.MaxBodyBytes(service)
 }
 
-// record counts an answered call for the service-level report.
-func (d *Daemon) record(string, call.Outcome, int, time.Duration) {}
+// level is the promised level of a service, for the burn report.
+func (d *Daemon) level(service string) (config.Level, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Level(service)
+}
+
+// record counts a call that has been answered. What the caller cancelled or
+// got wrong does not count against the service.
+func (d *Daemon) record(service string, outcome call.Outcome, reason call.Reason, status int, latency time.Duration) {
+	d.metrics.answered(outcome, reason)
+	switch reason {
+	case call.BadRequest, call.BodyTooLarge, call.Cancelled, call.KeyExpired, call.KeyReused,
+		call.NoSelector, call.ShortBody, call.UnknownService:
+		return
+	}
+	ok := outcome == call.Run && status < 500
+	d.burnMu.Lock()
+	defer d.burnMu.Unlock()
+	d.burn.Record(service, ok, latency, time.Now())
+}
--- a/daemon/pools.go
+++ b/daemon/pools.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+	"net"
 	"sync"
 
 	"pomelodoor.example/pomelodoor/exchange"
@@ -11,12 +13,13 @@
 
 // pools holds the connections to other daemons, by address.
 type pools struct {
+	dial      func(ctx context.Context, address string) (net.Conn, error)
 	mu        sync.Mutex
 	byAddress map[string]*exchange.Pool
 }
 
-func newPools() *pools {
-	return &pools{byAddress: map[string]*exchange.Pool{}}
+func newPools(dial func(ctx context.Context, address string) (net.Conn, error)) *pools {
+	return &pools{dial: dial, byAddress: map[string]*exchange.Pool{}}
 }
 
 // get returns the pool for an address.
@@ -25,7 +28,7 @@
 	defer p.mu.Unlock()
 	pool := p.byAddress[address]
 	if pool == nil {
-		pool = exchange.New(exchange.Config{Address: address, MaxConns: peerConns})
+		pool = exchange.New(exchange.Config{Address: address, MaxConns: peerConns, Dial: p.dial})
 		p.byAddress[address] = pool
 	}
 	return pool
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -74,12 +74,20 @@
 	if c.request.Keyed() {
 		return n.chooseHome(c)
 	}
-	set := n.candidates(c.service, c.selector)
-	i, ok := n.picker(c.service).Pick(set.list, c.tried, n.pickOptions(c), now)
+	list := n.candidates(c.service, c.selector).list
+	i, ok := n.pick(c.service, list, c.tried, n.pickOptions(c), now)
 	if !ok {
 		return "", call.NoUpstream, false
 	}
-	return set.list[i].ID, "", true
+	return list[i].ID, "", true
+}
+
+// pick chooses among candidates, by Config.Choose where that is set.
+func (n *Node) pick(s *config.Service, list []balance.Candidate, avoid []string, o balance.Options, now time.Time) (int, bool) {
+	if n.cfg.Choose != nil {
+		return n.cfg.Choose(list, avoid, now)
+	}
+	return n.picker(s).Pick(list, avoid, o, now)
 }
 
 // forward makes one attempt at the instance named.
@@ -179,14 +187,14 @@
 	if c == nil || len(c.open) != 1 || c.made != 1 {
 		return nil
 	}
-	set := n.candidates(c.service, c.selector)
+	list := n.candidates(c.service, c.selector).list
 	options := n.pickOptions(c)
 	options.NoTrial = true
-	i, ok := n.picker(c.service).Pick(set.list, c.tried, options, now)
+	i, ok := n.pick(c.service, list, c.tried, options, now)
 	if !ok || !n.policy(c.service, now).Hedge(n.try(c), now).Allowed {
 		return nil
 	}
-	return n.forward(c, set.list[i].ID, now)
+	return n.forward(c, list[i].ID, now)
 }
 
 // callerLeft ends the attempts of a call that nobody waits for.
--- a/node/node.go
+++ b/node/node.go
@@ -24,8 +24,14 @@
 	Started time.Time
 	// Rand returns uniform random numbers.
 	Rand func() uint64
+	// Choose replaces package balance in experiments; nil keeps it.
+	Choose Choose
 }
 
+// Choose picks one of the candidates, but none of those in avoid. It returns
+// false when there is none.
+type Choose func(candidates []balance.Candidate, avoid []string, now time.Time) (int, bool)
+
 // Node is the state of one daemon. It is not safe for concurrent use.
 type Node struct {
 	cfg    Config
@@ -220,6 +226,15 @@
 	return fallbackTimeout
 }
 
+// Level returns the promised service level of a service, or false when no
+// document states one.
+func (n *Node) Level(service string) (config.Level, bool) {
+	if s, ok := n.config.Service(service); ok {
+		return s.Level(), true
+	}
+	return config.Level{}, false
+}
+
 // MaxBodyBytes returns the size of a service's longest request body.
 func (n *Node) MaxBodyBytes(service string) int64 {
 	if s, ok := n.config.Service(service); ok {
