Hand a request on to a sibling before it runs, at most once

Cause: an order's key has one home, whichever upstreams the selectors allow, and a full home refused orders that a sibling could run. The home keeps the record; the sibling is told that the run is granted. For other calls a full daemon hands on behind the switch handOn; whether that pays is to be measured.

Ruled out: choosing the home among the allowed upstreams only, since a selector that changes between two sends would then move the home.

--- a/call/header.go
+++ b/call/header.go
@@ -26,6 +26,7 @@
 	HeaderIncarnation = "Pomelodoor-Incarnation"
 	HeaderHops        = "Pomelodoor-Hops"
 	HeaderLoad        = "Pomelodoor-Load"
+	HeaderGranted     = "Pomelodoor-Granted"
 	HeaderSpent       = "Pomelodoor-Spent-Us"
 	HeaderPriority    = "Pomelodoor-Priority"
 	HeaderFingerprint = "Pomelodoor-Fingerprint"
--- a/call/request.go
+++ b/call/request.go
@@ -48,6 +48,8 @@
 	Hops int
 	// Issue is true for a caller that asks for a key at KeyPath.
 	Issue bool
+	// Granted is true for a keyed request that its key's home has let run.
+	Granted bool
 	// Replayable is true when the whole body is held and can be sent again.
 	Replayable bool
 }
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -10,27 +10,12 @@
 // request. It never waits for a peer.
 func (d *Daemon) execute(commands []node.Command) {
 	for _, c := range commands {
+		if d.handOver(c) {
+			continue
+		}
 		switch c := c.(type) {
-		case node.Forward:
-			d.metrics.attempts.Add(1)
-			if c.Number > 1 {
-				d.metrics.further.Add(1)
-			}
-			d.calls.put(c.ID, c)
-		case node.CancelForward:
-			d.calls.put(c.ID, c)
-		case node.Answer:
-			d.calls.put(c.ID, c)
-		case node.Deliver:
-			d.calls.put(c.ID, c)
 		case node.HedgeAfter:
 			time.AfterFunc(c.Delay, func() { d.update(node.HedgeDue{ID: c.ID}) })
-		case node.Run:
-			d.runs.put(c.ID, c)
-		case node.Refuse:
-			d.runs.put(c.ID, c)
-		case node.CancelRun:
-			d.runs.put(c.ID, c)
 		case node.Probe:
 			d.metrics.probes.Add(1)
 			d.probing.start(d)
@@ -46,6 +31,33 @@
 	}
 }
 
+// handOver gives a command to the goroutine that serves its request. It
+// returns false for a command that belongs to no request.
+func (d *Daemon) handOver(c node.Command) bool {
+	switch c := c.(type) {
+	case node.Forward:
+		d.metrics.forwarded(c.Number)
+		d.calls.put(c.ID, c)
+	case node.CancelForward:
+		d.calls.put(c.ID, c)
+	case node.Answer:
+		d.calls.put(c.ID, c)
+	case node.Deliver:
+		d.calls.put(c.ID, c)
+	case node.Run:
+		d.runs.put(c.ID, c)
+	case node.Refuse:
+		d.runs.put(c.ID, c)
+	case node.HandOn:
+		d.runs.put(c.ID, c)
+	case node.CancelRun:
+		d.runs.put(c.ID, c)
+	default:
+		return false
+	}
+	return true
+}
+
 func (d *Daemon) note(n node.Note) {
 	if n.Warn {
 		d.part(n.Part).Warn(n.Text)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -15,7 +15,9 @@
 	attempts expvar.Int
 	// further counts the attempts beyond the first: retries and hedges.
 	further expvar.Int
-	probes  expvar.Int
+	// handedOn counts requests passed to a sibling before they ran.
+	handedOn expvar.Int
+	probes   expvar.Int
 }
 
 // newMetrics gathers what the daemon counts under one map.
@@ -29,6 +31,7 @@
 	m.vars.Set("reasons", m.reasons)
 	m.vars.Set("attempts", &m.attempts)
 	m.vars.Set("furtherAttempts", &m.further)
+	m.vars.Set("handedOn", &m.handedOn)
 	m.vars.Set("probes", &m.probes)
 	m.vars.Set("controlBytesOut", expvar.Func(func() any { return d.control.BytesOut() }))
 	m.vars.Set("controlBytesIn", expvar.Func(func() any { return d.control.BytesIn() }))
@@ -51,3 +54,11 @@
 
 // Vars returns the daemon's counters, to be published by expvar.
 func (d *Daemon) Vars() *expvar.Map { return d.metrics.vars }
+
+// forwarded counts an attempt by its number within its call.
+func (m *metrics) forwarded(number int) {
+	m.attempts.Add(1)
+	if number > 1 {
+		m.further.Add(1)
+	}
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -110,6 +110,8 @@
 			switch command := command.(type) {
 			case node.Run:
 				return d.run(ctx, command, request, req)
+			case node.HandOn:
+				return d.handOn(ctx, command, req)
 			case node.Refuse:
 				d.runs.remove(request.ID)
 				return refused(command)
@@ -121,6 +123,23 @@
 	}
 }
 
+// handOn lets a sibling serve the request, and passes its answer back.
+func (d *Daemon) handOn(ctx context.Context, h node.HandOn, req *fasthttp.Request) *answer {
+	start := time.Now()
+	a := d.sendPeer(ctx, h.To.Peer, ingress.Forwarded{
+		Request: h.Request, From: d.self.ID, Target: h.To.ID, Incarnation: h.Incarnation,
+	}, req)
+	a.result.Latency = time.Since(start)
+	end := node.HandOnEnded{ID: h.ID, Result: a.result}
+	if a.response != nil && !a.response.IsBodyStream() {
+		end.Body = a.response.Body()
+	}
+	d.metrics.handedOn.Add(1)
+	d.runs.remove(h.ID)
+	d.update(end)
+	return a
+}
+
 // refused is the answer to a request that ends without a run of its own.
 func refused(r node.Refuse) *answer {
 	a := &answer{result: node.Attempt{Outcome: r.Outcome, Reason: r.Reason, Status: r.Status}}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -85,6 +85,7 @@
 		return Forwarded{}, err
 	}
 	r.Hops = int(min(hops, maxAttempt))
+	r.Granted = string(h.Peek(call.HeaderGranted)) == granted
 	f := Forwarded{
 		From:   string(h.Peek(call.HeaderFrom)),
 		Target: string(h.Peek(call.HeaderTarget)),
@@ -108,9 +109,15 @@
 	h.Set(call.HeaderTarget, f.Target)
 	h.Set(call.HeaderIncarnation, strconv.FormatUint(f.Incarnation, 10))
 	h.Set(call.HeaderFingerprint, strconv.FormatUint(f.Request.Fingerprint, 10))
+	if f.Request.Granted {
+		h.Set(call.HeaderGranted, granted)
+	}
 	WriteOnward(h, f.Request, now)
 }
 
+// granted is the value of call.HeaderGranted.
+const granted = "1"
+
 // WriteOnward puts onto a request's headers what an upstream may pass on with
 // calls of its own: the attempt, and what is left of the deadline.
 func WriteOnward(h *fasthttp.RequestHeader, r call.Request, now time.Time) {
@@ -136,7 +143,7 @@
 var daemonHeaders = []string{
 	call.HeaderFrom, call.HeaderTarget, call.HeaderIncarnation, call.HeaderHops,
 	call.HeaderPriority, call.HeaderFingerprint, call.HeaderLoad, call.HeaderCall,
-	call.HeaderSpent, call.HeaderOutcome, call.HeaderReason,
+	call.HeaderGranted, call.HeaderSpent, call.HeaderOutcome, call.HeaderReason,
 }
 
 // serviceName takes the service from a Host header.
--- a/node/admission.go
+++ b/node/admission.go
@@ -19,6 +19,8 @@
 	// must do before the time before.
 	granted bool
 	before  time.Time
+	// handedTo names the sibling that was given the request.
+	handedTo string
 }
 
 // peerRequest lets a request run on the own upstream, or proves that it did
@@ -34,7 +36,7 @@
 	}
 	run := &runState{request: m.Request, from: m.From}
 	n.runs[id] = run
-	if run.request.Keyed() {
+	if run.request.Keyed() && !run.request.Granted {
 		return n.decide(n.book.Begin(m.Request, now), now)
 	}
 	return n.arrive(run, now)
@@ -49,6 +51,17 @@
 	return n.admit(n.gate.Arrive(request, now), now)
 }
 
+// refuseOrHandOn ends a request that the gate will not start, unless a sibling
+// may take it.
+func (n *Node) refuseOrHandOn(run *runState, reason call.Reason, now time.Time) Command {
+	if reason == call.Overloaded && n.config.Allowed(config.HandOn) {
+		if c, ok := n.handOn(run, now); ok {
+			return c
+		}
+	}
+	return n.refuse(run, call.NotRun, reason, now)
+}
+
 // refuse ends a request that did not run here. A key that was let run is given
 // back, so that a resend may run.
 func (n *Node) refuse(run *runState, outcome call.Outcome, reason call.Reason, now time.Time) Command {
@@ -92,7 +105,7 @@
 			run.started = now
 			out = append(out, Run{ID: a.CallID, Before: run.before})
 		case admit.Refuse:
-			out = append(out, n.refuse(run, call.NotRun, a.Reason, now))
+			out = append(out, n.refuseOrHandOn(run, a.Reason, now))
 		case admit.Cancel:
 			out = append(out, CancelRun{ID: a.CallID})
 		}
--- a/node/command.go
+++ b/node/command.go
@@ -71,6 +71,15 @@
 	Whole  bool
 }
 
+// HandOn passes a request to a sibling, and answers its sender with what the
+// sibling answers. It ends with HandOnEnded.
+type HandOn struct {
+	ID          string
+	To          membership.Instance
+	Incarnation uint64
+	Request     call.Request
+}
+
 // CancelRun ends a Run whose answer nobody waits for.
 type CancelRun struct {
 	ID string
@@ -110,6 +119,7 @@
 func (HedgeAfter) command()    {}
 func (Run) command()           {}
 func (Refuse) command()        {}
+func (HandOn) command()        {}
 func (CancelRun) command()     {}
 func (Probe) command()         {}
 func (CancelProbe) command()   {}
--- /dev/null
+++ b/node/handon.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/config"
+)
+
+// handOn passes a request that cannot run here to a sibling before it runs, at
+// most once. It returns false when there is no sibling that may take it.
+func (n *Node) handOn(run *runState, now time.Time) (Command, bool) {
+	service, selector, ok := n.allowedFor(run.request)
+	if !ok || run.request.Hops > 0 || n.view.Paused(now) {
+		return nil, false
+	}
+	list := n.candidates(service, selector).list
+	options := n.pickOptions(&callState{service: service})
+	i, ok := n.pick(service, list, []string{n.self(), run.from}, options, now)
+	if !ok {
+		return nil, false
+	}
+	record, ok := n.view.Lookup(list[i].ID)
+	if !ok || record.ID == n.self() {
+		return nil, false
+	}
+	run.handedTo = record.ID
+	run.started = now
+	n.picker(service).Started(record.ID, now)
+	onward := run.request
+	onward.ID += "h"
+	onward.Hops++
+	onward.Granted = run.granted
+	if !run.before.IsZero() && run.before.Before(onward.Deadline) {
+		onward.Deadline = run.before
+	}
+	return HandOn{ID: run.request.ID, To: record.Instance, Incarnation: record.Incarnation, Request: onward}, true
+}
+
+// allowedFor finds the service and the selector that bind a request here.
+func (n *Node) allowedFor(r call.Request) (*config.Service, *config.Selector, bool) {
+	service, ok := n.config.Service(r.Service)
+	if !ok {
+		return nil, nil, false
+	}
+	selector, ok := service.Select(r.Caller)
+	return service, selector, ok
+}
+
+// handOnEnded takes in what became of a request that a sibling was given.
+func (n *Node) handOnEnded(m HandOnEnded, now time.Time) []Command {
+	run := n.runs[m.ID]
+	if run == nil {
+		return nil
+	}
+	delete(n.runs, m.ID)
+	n.settle(run, RunEnded{ID: m.ID, Outcome: m.Result.Outcome, Status: m.Result.Status, Body: m.Body}, now)
+	if service, ok := n.config.Service(run.request.Service); ok {
+		n.learnFrom(n.picker(service), run.handedTo, m.Result, now)
+	}
+	return nil
+}
+
+// homeMayRun reports whether the selectors let this daemon's own upstream run
+// the request. The home of a key is chosen among all instances of a service, so
+// that it stays the same when selectors change.
+func (n *Node) homeMayRun(r call.Request) bool {
+	service, selector, ok := n.allowedFor(r)
+	return ok && service.Serves(selector, n.self(), n.cfg.Self.AvailabilityZone)
+}
--- a/node/home.go
+++ b/node/home.go
@@ -67,7 +67,7 @@
 		case once.Run:
 			run.granted = true
 			run.before = a.Until
-			out = append(out, n.arrive(run, now)...)
+			out = append(out, n.runKeyed(run, now)...)
 		case once.Refuse:
 			out = append(out, n.refuse(run, a.Outcome, a.Reason, now))
 		case once.Replay:
@@ -77,6 +77,18 @@
 	return out
 }
 
+// runKeyed runs a keyed request on the own upstream, or on a sibling's where the
+// selectors do not allow the own one.
+func (n *Node) runKeyed(run *runState, now time.Time) []Command {
+	if n.homeMayRun(run.request) {
+		return n.arrive(run, now)
+	}
+	if c, ok := n.handOn(run, now); ok {
+		return []Command{c}
+	}
+	return []Command{n.refuse(run, call.NotRun, call.NoUpstream, now)}
+}
+
 // replay answers a resend with what is kept of the one run.
 func (n *Node) replay(run *runState, kept once.Answer) Command {
 	delete(n.runs, run.request.ID)
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -164,16 +164,21 @@
 // learn tells the picker and the link times what an attempt has shown.
 func (n *Node) learn(c *callState, a attempt, r Attempt, now time.Time) {
 	picker := n.picker(c.service)
+	if r.Spent > 0 && a.target != n.self() {
+		n.links.observe(a.zone, r.Latency-r.Spent)
+	}
+	n.learnFrom(picker, a.target, r, now)
+}
+
+// learnFrom tells a picker what an attempt at an upstream has shown.
+func (n *Node) learnFrom(picker *balance.Picker, target string, r Attempt, now time.Time) {
 	if r.Unreachable {
-		picker.MarkDown(a.target, now)
+		picker.MarkDown(target, now)
 	}
 	if r.HasLoad {
-		picker.Heard(a.target, r.Load, now)
-	}
-	if r.Spent > 0 && a.target != n.self() {
-		n.links.observe(a.zone, r.Latency-r.Spent)
+		picker.Heard(target, r.Load, now)
 	}
-	picker.Finished(a.target, balance.Result{
+	picker.Finished(target, balance.Result{
 		Latency:   r.Latency,
 		Failed:    r.Outcome == call.Unknown && r.Reason != call.Cancelled || r.Outcome == call.Run && faulty(r.Status),
 		NotRun:    r.Outcome == call.NotRun,
--- a/node/message.go
+++ b/node/message.go
@@ -87,6 +87,14 @@
 	Body []byte
 }
 
+// HandOnEnded says what became of a HandOn.
+type HandOnEnded struct {
+	ID     string
+	Result Attempt
+	// Body is the answer when it is short enough to keep for a resend.
+	Body []byte
+}
+
 // ProbeEnded says what a Probe read, or why it read nothing.
 type ProbeEnded struct {
 	Reading measure.Reading
@@ -135,6 +143,7 @@
 func (PeerRequest) message()   {}
 func (PeerLeft) message()      {}
 func (RunEnded) message()      {}
+func (HandOnEnded) message()   {}
 func (ProbeEnded) message()    {}
 func (PeerMessage) message()   {}
 func (IndexRead) message()     {}
--- a/node/node.go
+++ b/node/node.go
@@ -119,6 +119,8 @@
 		return n.peerRequest(m, now)
 	case RunEnded:
 		return n.runEnded(m, now)
+	case HandOnEnded:
+		return n.handOnEnded(m, now)
 	case PeerLeft:
 		return n.peerLeft(m, now)
 	case ProbeEnded:
