spread: a fleet that is new as a whole confirms by agreement

Cause: in a fleet of fresh daemons none is confirmed, so each waited the whole ConfirmWait of 20 s although all had compared with all others and agreed. When every live instance of the list holds the same, nobody holds anything newer. Ruled out: a shorter ConfirmWait, which would weaken the wait of a daemon that is cut off. To do: a fresh daemon that reaches nobody still confirms after ConfirmWait; that is to be made stricter.

--- a/spread/confirm.go
+++ b/spread/confirm.go
@@ -12,7 +12,7 @@
 	// since is when the wait began, and round its first comparison.
 	since time.Time
 	round uint64
-	// peers holds the confirmed daemons that hold the same.
+	// peers holds the daemons that hold the same; true for confirmed ones.
 	peers map[string]bool
 	// heard is true once any daemon has answered.
 	heard bool
@@ -30,15 +30,28 @@
 		return
 	}
 	c.heard = true
-	if m.Confirmed {
-		c.peers[m.From] = true
+	if c.peers == nil {
+		c.peers = map[string]bool{}
 	}
+	c.peers[m.From] = c.peers[m.From] || m.Confirmed
+}
+
+// confirmed counts the confirmed daemons that hold the same.
+func (c *confirm) confirmed() int {
+	count := 0
+	for _, confirmed := range c.peers {
+		if confirmed {
+			count++
+		}
+	}
+	return count
 }
 
 // Confirmed reports whether this daemon has compared with the fleet since it
-// started or woke: with two confirmed daemons, or with all there are. When none
-// is confirmed or can be reached, it holds after Config.ConfirmWait, provided
-// that the platform's list or any daemon has been heard.
+// started or woke: with two confirmed daemons, or with all there are, confirmed
+// or not, since then nobody holds anything newer. When none is confirmed or can
+// be reached, it holds after Config.ConfirmWait, provided that the platform's
+// list or any daemon has been heard.
 func (s *State) Confirmed(now time.Time) bool {
 	c := &s.confirm
 	if c.done {
@@ -47,7 +60,7 @@
 	others := s.config.Live() - 1
 	listed := s.reading.listed
 	switch {
-	case len(c.peers) >= enoughPeers:
+	case c.confirmed() >= enoughPeers:
 		c.done = true
 	case listed && len(c.peers) >= others:
 		c.done = true
