config: Order; burn: windows against a plain list

Cause: node works out the order of documents a second time, from the digest's text, for spread, which compares two numbers. Document.Order gives these numbers, and Newer is built on it, so that the two cannot differ. TestNewerIsTotal compares them.

TestWindowsAgreeWithList compares the ring of minutes with a list of calls while the clock jumps both ways.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -178,6 +178,40 @@
 	})
 }
 
+// TestWindowsAgreeWithList compares the ring with a plain list of calls, while
+// the clock jumps both ways.
+func TestWindowsAgreeWithList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := burn.New(burn.Config{})
+		var failed []int // the minute of each call
+		newest := -1000
+		for _, minute := range rapid.SliceOfN(rapid.IntRange(0, 1000), 1, 40).Draw(t, "minutes") {
+			if minute <= newest-360 {
+				failed, newest = nil, minute
+			}
+			newest = max(newest, minute)
+			failed = append(failed, minute)
+			b.Record("faults", false, 0, start.Add(time.Duration(minute)*time.Minute))
+		}
+		at := rapid.IntRange(0, 1400).Draw(t, "at")
+		got := b.Report(start.Add(time.Duration(at) * time.Minute)).Services
+		for i, minutes := range []int{5, 30, 60, 360} {
+			want := 0
+			for _, minute := range failed {
+				if minute <= at && minute > at-minutes && minute > newest-360 {
+					want++
+				}
+			}
+			if len(got) == 0 && want == 0 {
+				continue
+			}
+			if len(got) == 0 || got[0].Windows[i].Failed != uint64(want) {
+				t.Fatalf("%d minutes at %d: got %+v, want %d of %v", minutes, at, got, want, failed)
+			}
+		}
+	})
+}
+
 // fill records a minute of calls for 460 services over 6 hours.
 func fill() *burn.Burn {
 	b := burn.New(burn.Config{Instance: "faults-1"})
--- a/config/canonical.go
+++ b/config/canonical.go
@@ -9,14 +9,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// digest returns 16 hex digits that are equal for documents that differ only
+// digest returns a hash that is equal for documents that differ only
 // in white space, the order of fields, the order inside lists that are sets,
 // and the spelling of numbers and strings. Defaults are not filled in, so that
 // a release with other defaults still gives the same digest.
-func digest(n *node) string {
-	sum := xxhash.Sum64(appendCanonical(nil, n, ""))
-	hex := strconv.FormatUint(sum, 16)
-	return strings.Repeat("0", 16-len(hex)) + hex
+func digest(n *node) uint64 {
+	return xxhash.Sum64(appendCanonical(nil, n, ""))
 }
 
 // appendCanonical appends the canonical form of n, the value of the field
--- a/config/document.go
+++ b/config/document.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"fmt"
 	"strings"
 )
 
@@ -40,6 +42,7 @@
 	key      string
 	kind     Kind
 	revision uint64
+	sum      uint64 // the digest as a number
 	digest   string
 	raw      []byte
 	service  *Service
@@ -101,7 +104,8 @@
 	if err := r.err(d.revision); err != nil {
 		return Document{}, err
 	}
-	d.digest = digest(root)
+	d.sum = digest(root)
+	d.digest = fmt.Sprintf("%016x", d.sum)
 	d.raw = bytes.Clone(data)
 	return d, nil
 }
@@ -132,19 +136,30 @@
 	return "is no kind, want service or switches"
 }
 
+// Order returns two numbers that order documents of one key as Newer does, for
+// those who only compare numbers: the revision; and, for documents of one
+// revision, how many actions switches deny in the upper 8 bits and the start of
+// the digest in the others.
+func (d Document) Order() (major, minor uint64) {
+	const deniedBits = 8
+	minor = d.sum >> deniedBits
+	if d.switches != nil {
+		denied := len(actions) - d.switches.count()
+		minor |= uint64(denied) << (64 - deniedBits)
+	}
+	return d.revision, minor
+}
+
 // Newer reports whether a is in force in place of b, a document of the same
 // key. The higher revision is. Where two operators used one revision it is the
 // switches document that allows fewer actions, and then the higher digest: any
 // fixed order will do for services, if only all daemons use the same.
 func Newer(a, b Document) bool {
-	if a.revision != b.revision {
-		return a.revision > b.revision
-	}
-	if a.switches != nil && b.switches != nil {
-		x, y := a.switches.count(), b.switches.count()
-		if x != y {
-			return x < y
-		}
-	}
-	return a.digest > b.digest
+	aMajor, aMinor := a.Order()
+	bMajor, bMinor := b.Order()
+	return cmp.Or(
+		cmp.Compare(aMajor, bMajor),
+		cmp.Compare(aMinor, bMinor),
+		cmp.Compare(a.sum, b.sum),
+	) > 0
 }
--- a/config/set_test.go
+++ b/config/set_test.go
@@ -181,6 +181,11 @@
 		if config.Newer(a, b) && config.Newer(b, c) && !config.Newer(a, c) {
 			t.Fatal("not transitive")
 		}
+		aMajor, aMinor := a.Order()
+		bMajor, bMinor := b.Order()
+		if config.Newer(a, b) != (aMajor > bMajor || aMajor == bMajor && aMinor > bMinor) {
+			t.Fatal("Order differs from Newer")
+		}
 		if same && !reflect.DeepEqual(a.Switches(), b.Switches()) {
 			t.Fatal("one digest, two meanings")
 		}
