standin: callers ask daemons for keys; a platform replica that is behind

Orders now ask a daemon for their key, and own keys are a kind of their own in the mix. The platform can serve what it served at a marked moment, which a restarted daemon must not believe over what its fellows know.

--- a/standin/caller.go
+++ b/standin/caller.go
@@ -163,8 +163,14 @@
 // again as the policy says, until it has an answer.
 func (c *Caller) Order(ctx context.Context, r Request, first int, intended time.Time) []Exchange {
 	var history []Exchange
+	if r.AskKey {
+		if asked, ok := c.askAny(first, &r); !ok {
+			asked.IntendedUs = intended.UnixMicro()
+			return []Exchange{asked}
+		}
+	}
 	for send := 0; ; send++ {
-		target := c.cfg.Targets[(first+send)%len(c.cfg.Targets)]
+		target := c.target(first + send)
 		x := c.Send(target, r, send)
 		x.IntendedUs = intended.UnixMicro()
 		history = append(history, x)
@@ -189,7 +195,7 @@
 		StartUs: time.Now().UnixMicro(),
 	}
 	x.IntendedUs = x.StartUs
-	err := c.client(target).DoTimeout(req, resp, cmp.Or(r.Deadline, defaultDeadline)+answerGrace)
+	err := c.client(target).DoTimeout(req, resp, r.wait())
 	x.EndUs = time.Now().UnixMicro()
 	if err != nil {
 		x.Verdict, x.Fault = Lost, err.Error()
@@ -199,6 +205,11 @@
 	return x
 }
 
+// target returns the address that is called at a turn.
+func (c *Caller) target(turn int) string {
+	return c.cfg.Targets[turn%len(c.cfg.Targets)]
+}
+
 // client returns the client of a target.
 func (c *Caller) client(target string) *fasthttp.HostClient {
 	if client, ok := c.clients[target]; ok {
--- a/standin/caller_test.go
+++ b/standin/caller_test.go
@@ -176,3 +176,31 @@
 		t.Errorf("key %s", key)
 	}
 }
+
+func TestCallerAsksForKeys(t *testing.T) {
+	tests := map[string]struct {
+		handle fasthttp.RequestHandler
+		key    string
+		ok     bool
+	}{
+		"issued": {func(ctx *fasthttp.RequestCtx) {
+			ctx.Response.Header.Set(call.HeaderOutcome, "run")
+			ctx.SetBodyString("k1")
+		}, "k1", true},
+		"refused": {func(ctx *fasthttp.RequestCtx) { ctx.Error("leaving", 503) }, "", false},
+		"empty":   {func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set(call.HeaderOutcome, "run") }, "", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			addr := fakeDaemon(t, tt.handle)
+			c, err := NewCaller(CallerConfig{Service: "faults", Targets: []string{addr}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := Request{Token: "t"}
+			if _, ok := c.AskKey(addr, &r); ok != tt.ok || r.Key != tt.key {
+				t.Errorf("key %q, %v", r.Key, ok)
+			}
+		})
+	}
+}
--- a/standin/mix.go
+++ b/standin/mix.go
@@ -6,15 +6,19 @@
 	"time"
 )
 
-// Mix is what share of the load each kind of request has, by weight.
+// Mix is what share of the load each kind of request has, by weight. Orders ask
+// a daemon for their key first, OrdersWithOwnKey make one themselves.
 type Mix struct {
-	Lookups, Orders, OrdersWithoutKey, Uploads, Heads, Deletes int
+	Lookups, Orders, OrdersWithOwnKey, OrdersWithoutKey, Uploads, Heads, Deletes int
 	// UploadMin and UploadMax bound the size of uploads in bytes.
 	UploadMin, UploadMax int
 	// LookupAnswer is the number of filler bytes that a lookup asks for.
 	LookupAnswer int
 }
 
+// orderBytes is the size of an order's body.
+const orderBytes = 512
+
 // DefaultMix is a day of the users' work: mostly lookups, some orders, a few
 // large uploads.
 func DefaultMix() Mix {
@@ -30,16 +34,17 @@
 // draw returns the next request, named by its place in the caller's sequence.
 func (m Mix) draw(rng *rand.Rand, prefix string, n int, now time.Time) Request {
 	r := Request{Token: prefix + "-" + strconv.Itoa(n)}
-	pick := rng.IntN(max(1, m.Lookups+m.Orders+m.OrdersWithoutKey+m.Uploads+m.Heads+m.Deletes))
+	pick := rng.IntN(max(1, m.Lookups+m.Orders+m.OrdersWithOwnKey+m.OrdersWithoutKey+m.Uploads+m.Heads+m.Deletes))
 	for _, kind := range []struct {
 		weight int
 		shape  func()
 	}{
 		{m.Lookups, func() { r.Method, r.Path, r.Answer = "GET", "/history/"+r.Token, m.LookupAnswer }},
-		{m.Orders, func() {
-			r.Method, r.Path, r.Body, r.Key = "POST", "/orders", 512, newKey(now, rng.Uint64(), rng.Uint64())
+		{m.Orders, func() { r.Method, r.Path, r.Body, r.AskKey = "POST", "/orders", orderBytes, true }},
+		{m.OrdersWithOwnKey, func() {
+			r.Method, r.Path, r.Body, r.Key = "POST", "/orders", orderBytes, newKey(now, rng.Uint64(), rng.Uint64())
 		}},
-		{m.OrdersWithoutKey, func() { r.Method, r.Path, r.Body = "POST", "/orders", 512 }},
+		{m.OrdersWithoutKey, func() { r.Method, r.Path, r.Body = "POST", "/orders", orderBytes }},
 		{m.Uploads, func() { r.Method, r.Path, r.Body = "PUT", "/images/"+r.Token, m.uploadSize(rng) }},
 		{m.Heads, func() { r.Method, r.Path, r.Answer = "HEAD", "/history/"+r.Token, 512 }},
 		{m.Deletes, func() { r.Method, r.Path = "DELETE", "/images/"+r.Token }},
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -68,6 +68,7 @@
 	lag     time.Duration
 	outage  Outage
 	frozen  *frozenView
+	marked  *frozenView
 }
 
 // valueTable holds the documents under one version that only goes up.
@@ -88,7 +89,7 @@
 	byID    map[string]Instance
 }
 
-// frozenView is what a stale platform keeps serving.
+// frozenView is what the platform served at one moment.
 type frozenView struct {
 	values valueTable
 	list   listView
@@ -176,12 +177,36 @@
 	defer p.mu.Unlock()
 	p.frozen = nil
 	if on {
-		list, _ := p.visibleList(time.Now())
-		p.frozen = &frozenView{values: p.values, list: list}
+		p.frozen = p.snapshot()
 	}
 	p.wake()
 }
 
+// Mark remembers what the platform serves at this moment.
+func (p *Platform) Mark() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.marked = p.snapshot()
+}
+
+// SetBehind makes the platform serve what was marked, as a replica that never
+// heard of later changes, or ends that. Without a mark it does nothing.
+func (p *Platform) SetBehind(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = nil
+	if on {
+		p.frozen = p.marked
+	}
+	p.wake()
+}
+
+// snapshot returns what readers see. p.mu is held.
+func (p *Platform) snapshot() *frozenView {
+	list, _ := p.visibleList(time.Now())
+	return &frozenView{values: p.visibleValues(), list: list}
+}
+
 // SetLag changes how far the list of instances trails.
 func (p *Platform) SetLag(lag time.Duration) {
 	p.mu.Lock()
--- a/standin/platform_admin.go
+++ b/standin/platform_admin.go
@@ -25,6 +25,10 @@
 		p.SetOutage(outageOf(string(ctx.QueryArgs().Peek("on"))))
 	case "POST stale":
 		p.SetStale(isOn(ctx, "on"))
+	case "POST mark":
+		p.Mark()
+	case "POST behind":
+		p.SetBehind(isOn(ctx, "on"))
 	case "POST lag":
 		p.SetLag(time.Duration(ctx.QueryArgs().GetUintOrZero("lagMs")) * time.Millisecond)
 	case "GET reads":
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -143,6 +143,16 @@
 	if _, body := get(t, p.Addr(), "/v1/values/k"); string(body) != "new" {
 		t.Errorf("fresh value %q", body)
 	}
+	do(t, "POST", p.Addr(), "/admin/mark", "")
+	_ = p.Publish("k", []byte("newest"))
+	do(t, "POST", p.Addr(), "/admin/behind?on=true", "")
+	if _, body := get(t, p.Addr(), "/v1/values/k"); string(body) != "new" {
+		t.Errorf("value of a replica behind %q", body)
+	}
+	do(t, "POST", p.Addr(), "/admin/behind?on=false", "")
+	if _, body := get(t, p.Addr(), "/v1/values/k"); string(body) != "newest" {
+		t.Errorf("newest value %q", body)
+	}
 	do(t, "POST", p.Addr(), "/admin/outage?on=true", "")
 	if code, _ := get(t, p.Addr(), "/v1/values/k"); code != 503 {
 		t.Errorf("outage answers %d", code)
--- a/standin/request.go
+++ b/standin/request.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -18,7 +20,9 @@
 	// Token names the request from end to end.
 	Token string
 	// Key is the Idempotency-Key, or empty.
-	Key    string
+	Key string
+	// AskKey has the caller ask a daemon for the key first.
+	AskKey bool
 	Method string
 	Path   string
 	// Body is the number of bytes sent, and Answer that of filler bytes wanted.
@@ -38,6 +42,11 @@
 	return call.Request{Method: r.Method}.Idempotent()
 }
 
+// wait is how long the caller listens for the answer.
+func (r Request) wait() time.Duration {
+	return cmp.Or(r.Deadline, defaultDeadline) + answerGrace
+}
+
 // fill writes the request into req, for one service as one caller. send counts
 // the times it was sent before.
 func (r Request) fill(req *fasthttp.Request, service, caller string, send int) {
@@ -83,17 +92,23 @@
 // slowSteps is the number of pieces that a slow body is sent in.
 const slowSteps = 50
 
-// slowReader gives its bytes in pieces with a pause before each.
+// slowReader gives its bytes in steps with a pause before each.
 type slowReader struct {
 	from  io.Reader
 	pause time.Duration
 	step  int
+	left  int
 }
 
-// Read waits, then reads at most one piece.
+// Read waits at the start of each step, then reads what is left of it.
 func (s *slowReader) Read(p []byte) (int, error) {
-	time.Sleep(s.pause)
-	return s.from.Read(p[:min(len(p), s.step)])
+	if s.left == 0 {
+		time.Sleep(s.pause)
+		s.left = s.step
+	}
+	n, err := s.from.Read(p[:min(len(p), s.left)])
+	s.left -= n
+	return n, err
 }
 
 // newKey returns a UUID of version 7 (RFC 9562), which carries the time of its
@@ -104,3 +119,6 @@
 	binary.BigEndian.PutUint64(b[8:], low&0x3fffffffffffffff|0x8000000000000000)
 	return fmt.Sprintf("%x-%x-%x-%x-%x", b[:4], b[4:6], b[6:8], b[8:10], b[10:])
 }
+
+// NewKey returns a new Idempotency-Key that carries the time of its making.
+func NewKey(now time.Time) string { return newKey(now, rand.Uint64(), rand.Uint64()) }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -77,7 +77,6 @@
 	// inFlight counts running and waiting requests.
 	inFlight atomic.Int64
 	closed   chan struct{}
-	done     sync.WaitGroup
 
 	mu       sync.Mutex
 	serving  *listener
@@ -110,7 +109,7 @@
 	}
 	w.cfg.Listen = w.serving.Addr().String()
 	go func() { _ = newWorkerServer(w.handleAdminOnly, 0).Serve(admin) }()
-	w.done.Go(w.sampleLoad)
+	go w.sampleLoad()
 	return w, nil
 }
 
@@ -233,14 +232,16 @@
 	}
 }
 
-// Close ends the worker.
+// Close ends the worker. Its record stays. It may be called again.
 func (w *Worker) Close() {
-	close(w.closed)
-	w.done.Wait()
-	w.admin.kill()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.isClosed {
+		return
+	}
 	w.isClosed = true
+	close(w.closed)
+	w.admin.kill()
 	w.serving.kill()
 }
 
