config, burn: tests that mutations got past

Two changes of code came of it: FormatFaults now finds joined errors that are wrapped once more, and a label set of a wrong type is told once and not also as empty. Removing a conflict when a document changes needed no condition.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -59,6 +59,7 @@
 		"ring kept":            {[]calls{{0, 100, 1, 0}, {359 * time.Minute, 100, 0, 0}}, 359 * time.Minute, "0.0 0.0 0.0 5.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
 		"long pause":           {[]calls{{0, 100, 100, 0}, {30 * time.Hour, 100, 0, 0}}, 30 * time.Hour, "0.0 0.0 0.0 0.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
 		"clock set back":       {[]calls{{10 * time.Minute, 100, 0, 0}, {0, 100, 1, 0}}, 10 * time.Minute, "0.0 5.0 5.0 5.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
+		"clock back by 6 h":    {[]calls{{6 * time.Hour, 100, 0, 0}, {0, 100, 1, 0}}, 0, "10.0 10.0 10.0 10.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
 		"clock set far back":   {[]calls{{0, 100, 0, 0}, {-48 * time.Hour, 100, 1, 0}}, -48 * time.Hour, "10.0 10.0 10.0 10.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
 		"report before a call": {[]calls{{0, 100, 0, 0}, {10 * time.Minute, 100, 1, 0}}, 0, "0.0 0.0 0.0 0.0", "0.0 0.0 0.0 0.0", burn.None, burn.None},
 	}
@@ -111,17 +112,45 @@
 func TestTable(t *testing.T) {
 	b := burn.New(burn.Config{Instance: "faults-1"})
 	record(b, "faults", calls{n: 1000})
+	record(b, "images", calls{n: 4, failed: 1})
 	record(b, "orders", calls{n: 1000, failed: 20, slow: 1})
 	want := `1 daemons at 2026-12-04T12:00:00Z, counting since 2026-12-04T12:00:00Z, 0 calls dropped
-service  alert  latency alert  calls 6h  failed 6h  slow 6h  burn 5m 30m 1h 6h    latency burn 5m 30m 1h 6h  left 6h  latency left 6h
-orders   fast   none           1000      20         1        20.0 20.0 20.0 20.0  0.1 0.1 0.1 0.1            -1900%   90%
-faults   none   none           1000      0          0        0.0 0.0 0.0 0.0      0.0 0.0 0.0 0.0            100%     100%
+service  alert  latency alert  calls 6h  failed 6h  slow 6h  burn 5m 30m 1h 6h        latency burn 5m 30m 1h 6h  left 6h  latency left 6h
+orders   fast   none           1000      20         1        20.0 20.0 20.0 20.0      0.1 0.1 0.1 0.1            -1900%   90%
+images   none   none           4         1          0        250.0 250.0 250.0 250.0  0.0 0.0 0.0 0.0            -24900%  100%
+faults   none   none           1000      0          0        0.0 0.0 0.0 0.0          0.0 0.0 0.0 0.0            100%     100%
 `
 	if got := b.Report(start).String(); got != want {
 		t.Errorf("got\n%s", got)
 	}
 }
 
+func TestMergeOfDifferent(t *testing.T) {
+	report := func(instance, availability string, all ...calls) burn.Report {
+		d, err := config.Parse("test.json", []byte(`{"kind":"service","revision":1,"service":"faults",
+			"serviceLevel":{"latencyMs":`+availability+`0,"availability":`+availability+`}}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := burn.New(burn.Config{Instance: instance, Level: func(string) (config.Level, bool) { return d.Service().Level(), true }})
+		record(b, "faults", all...)
+		return b.Report(start.Add(all[0].at))
+	}
+	older := report("a", "99", calls{n: 1})
+	newer := report("a", "99", calls{at: time.Hour, n: 10}, calls{at: time.Minute, n: 10})
+	other := report("b", "90", calls{at: time.Hour, n: 100, failed: 10})
+	for name, reports := range map[string][]burn.Report{"one order": {older, newer, other}, "other order": {other, newer, older}} {
+		got := burn.Merge(reports...)
+		s := got.Services[0]
+		if c := s.Windows[3]; got.Daemons != 2 || c.Calls != 120 || c.Failed != 10 || fmt.Sprintf("%.3f", c.BurnRate) != "8.333" {
+			t.Errorf("%s: %+v", name, got)
+		}
+		if s.Level.Availability != 99 || s.Level.LatencyMs != 900 || !got.Since.Equal(start.Add(time.Minute)) || !got.At.Equal(start.Add(time.Hour)) {
+			t.Errorf("%s: level %+v since %v at %v", name, s.Level, got.Since, got.At)
+		}
+	}
+}
+
 func TestServicesAreBounded(t *testing.T) {
 	b := burn.New(burn.Config{MaxServices: 2})
 	record(b, "a", calls{n: 1})
--- a/config/digest_test.go
+++ b/config/digest_test.go
@@ -17,6 +17,7 @@
 		same bool
 	}{
 		"set order":      {switches(1, `,"allow":["retry","eject"]`), switches(1, `,"allow":["eject","retry"]`), true},
+		"callers":        {service(`,"selectors":[{"name":"x","callers":["a","b"]}]`), service(`,"selectors":[{"name":"x","callers":["b","a"]}]`), true},
 		"number":         {service(`,"budgets":{"retryPercent":10}`), service(`,"budgets":{"retryPercent":1.0e1}`), true},
 		"zero":           {service(`,"budgets":{"retryPercent":0}`), service(`,"budgets":{"retryPercent":-0.0}`), true},
 		"escapes":        {service(""), strings.Replace(service(""), "faults", `f\u0061ults`, 1), true},
--- a/config/fault.go
+++ b/config/fault.go
@@ -76,7 +76,11 @@
 
 // faultsOf collects the faults of every InvalidError that err wraps.
 func faultsOf(err error) []Fault {
-	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+	var joined interface {
+		error
+		Unwrap() []error
+	}
+	if errors.As(err, &joined) {
 		var faults []Fault
 		for _, e := range joined.Unwrap() {
 			faults = append(faults, faultsOf(e)...)
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -76,7 +76,12 @@
 		"selector twice":     {service(`,"selectors":[{"name":"x"},` + "\n" + `{"name":"x"}]`), []string{`2: selectors[1].name: the name "x" stands twice`}},
 		"label nobody has":   {service(`,"labels":[{"set":{"pool":"a"}}],"selectors":[{"name":"x","upstreams":{` + "\n" + `"pool":"b"}}]`), []string{`2: selectors[0].upstreams.pool: no rule in labels sets pool to "b"`}},
 		"label twice":        {service(`,"labels":[{"set":{"p":"a","p":"b"}}]`), []string{`1: labels[0].set.p: stands twice`}},
+		"line break":         {"{\n\"kind\":\"a\nb\"}", []string{`2: document: invalid character '\n' in string`}},
+		"delete sign":        {`{"kind":"service","revision":1,"service":"a\u007f"}`, []string{`1: service: "a\x7f" holds the character '\x7f'`}},
+		"many labels":        {service(`,"labels":[{"set":{` + strings.Repeat(`"a":"b",`, 64) + `"a":"b"}}]`), []string{`1: labels[0].set: has 65 labels`}},
 		"no label":           {service(`,"labels":[{"instances":["a"]}]`), []string{`1: labels[0].set: sets no label`}},
+		"labels as a list":   {service(`,"labels":[{"set":[]}]`), []string{`1: labels[0].set: is of type list`}},
+		"empty labels":       {service(`,"labels":[{"set":{}}]`), []string{`1: labels[0].set: sets no label`}},
 		"label value":        {service(`,"labels":[{"set":{"p":"a b"}}]`), []string{`1: labels[0].set.p: "a b" holds the character ' '`}},
 		"long name":          {service(`,"labels":[{"set":{"p":"` + strings.Repeat("x", 129) + `"}}]`), []string{`1: labels[0].set.p: "xxx`}},
 		"priority":           {service(`,"priorities":[{"priority":"urgent"}]`), []string{`1: priorities[0].priority: "urgent" is no priority`}},
@@ -107,6 +112,19 @@
 	}
 }
 
+func TestFormatFaultsOfSeveral(t *testing.T) {
+	_, x := config.Parse("x.json", []byte("{"))
+	_, y := config.Parse("y.json", []byte("[]"))
+	got := config.FormatFaults(fmt.Errorf("check: %w", errors.Join(x, errors.New("other"), y)))
+	want := "x.json:1: document: unexpected end of JSON input\ny.json:1: document: is of type list, want object\n"
+	if got != want {
+		t.Errorf("got %s", got)
+	}
+	if config.FormatFaults(nil) != "" || config.FormatFaults(errors.New("other")) != "other\n" {
+		t.Error("errors without faults")
+	}
+}
+
 func TestParseBoundsFaults(t *testing.T) {
 	items := strings.Repeat(`{},`, 200) + `{}`
 	_, err := config.Parse("f.json", []byte(service(`,"labels":[`+items+`]`)))
@@ -143,6 +161,7 @@
 		"zone":            {"dispatch-3", "faults-3", "a", "day", true, call.High},
 		"later rule wins": {"dispatch-3", "faults-1", "a", "day", false, call.High},
 		"no label":        {"desk", "faults-3", "b", "day", false, call.Normal},
+		"no prefix":       {"my-scan-7", "faults-1", "b", "", false, call.Normal},
 		"no selector":     {"desk-2", "faults-1", "a", "", false, call.Normal},
 	}
 	for name, tt := range tests {
@@ -204,4 +223,8 @@
 	if got != want {
 		t.Errorf("got\n%s", got)
 	}
+	after := config.Explain(svc, "scan-7").Selectors
+	if !after[0].Chosen || after[1].Chosen || after[1].Why != "comes after the first match" {
+		t.Errorf("got %+v", after)
+	}
 }
--- a/config/service_parse.go
+++ b/config/service_parse.go
@@ -34,7 +34,7 @@
 	for i, item := range items {
 		o := r.object(item, indexed("labels", i), "instances", "availabilityZones", "set")
 		set := o.labels("set")
-		if len(set) == 0 {
+		if n, ok := o.field("set"); !ok || n.kind == objectNode && len(n.members) == 0 {
 			r.fault(item.line, o.at("set"), "sets no label")
 		}
 		rules = append(rules, labelRule{
--- a/config/set.go
+++ b/config/set.go
@@ -69,9 +69,7 @@
 	if d.switches != nil {
 		s.switches = d.switches
 	}
-	if old.revision != d.revision {
-		delete(s.conflicts, d.key)
-	}
+	delete(s.conflicts, d.key)
 }
 
 // settles reports whether d makes up for the refused document r.
--- a/config/set_test.go
+++ b/config/set_test.go
@@ -92,6 +92,16 @@
 		t.Errorf("rejections %+v", got)
 	}
 	set.Forget("switches")
+	_, syntax := config.Parse("f.json", []byte("{"))
+	set.Reject(good.Key(), "f.json", syntax, now)
+	set.Apply(good)
+	if got := set.Faults(); len(got) != 1 {
+		t.Errorf("an old document settled it: %+v", got)
+	}
+	set.Apply(mustParse(t, strings.Replace(service(""), `:1,`, `:3,`, 1)))
+	if got := set.Faults(); len(got) != 0 {
+		t.Errorf("not settled: %+v", got)
+	}
 	for i := range 70 {
 		set.Reject(fmt.Sprintf("services/s%02d", i), "f.json", err, now.Add(time.Duration(i)))
 	}
@@ -160,6 +170,9 @@
 			if conflict && before.Revision() != d.Revision() {
 				t.Fatal("conflict of two revisions")
 			}
+			if conflict && before.Digest() == d.Digest() {
+				t.Fatal("conflict with itself")
+			}
 		}
 		if state(x) != state(y) {
 			t.Fatalf("%s\n%s", state(x), state(y))
--- a/config/status_test.go
+++ b/config/status_test.go
@@ -47,6 +47,11 @@
 			"2 instances: switches revision 7 digest b8bf63ed2bac543d, all actions off, 1 documents, summary 7e19752ef169a4a6\n" +
 				"1 instances: no switches, not confirmed, all actions off, 0 documents, summary 0000000000000000: a\n",
 		},
+		"other service": {
+			map[string]config.Status{"a": holder(true, off), "b": holder(true, off, service(""))}, false,
+			"1 instances: switches revision 7 digest b8bf63ed2bac543d, all actions off, 2 documents, summary 3fc97f47a9c3b981\n" +
+				"1 instances: switches revision 7 digest b8bf63ed2bac543d, all actions off, 1 documents, summary 7e19752ef169a4a6: a\n",
+		},
 		"refused": {
 			map[string]config.Status{"a": refusing.Status()}, true,
 			"1 instances: switches revision 7 digest b8bf63ed2bac543d, all actions off, 1 documents, summary 7e19752ef169a4a6\n" +
