status: compare what daemons hold, and tell not confirmed from switched off

Cause: before a daemon has compared with others it allows nothing, which the status table showed like a real switch-off; a rival document with the revision in force left no trace, since spread drops the loser before the node sees it.

--- a/cmd/pomelodoor/status.go
+++ b/cmd/pomelodoor/status.go
@@ -7,12 +7,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/exchange"
 	"pomelodoor.example/pomelodoor/node"
 )
@@ -23,39 +26,66 @@
 const adminTimeout = 2 * time.Second
 
 type statusCommand struct {
-	JSON  bool     `arg:"--json" help:"print JSON"`
-	Admin []string `arg:"positional,required" placeholder:"IP:PORT" help:"admin addresses of daemons"`
+	JSON    bool     `arg:"--json" help:"print JSON"`
+	Compare bool     `arg:"--compare" help:"print a line for each group of daemons that hold the same"`
+	Admin   []string `arg:"positional,required" placeholder:"IP:PORT" help:"admin addresses of daemons"`
 }
 
-// run prints a row for each daemon. A daemon that cannot be asked is a fault.
+// run prints what the daemons hold. A daemon that cannot be asked is a fault,
+// and so are two that differ when they are compared.
 func (c *statusCommand) run(out io.Writer) error {
-	faulty := false
-	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	if !c.JSON {
-		_, _ = fmt.Fprintln(table, "INSTANCE\tREADY\tSWITCHES\tALLOWED\tDOCUMENTS")
-	}
+	statuses := map[string]node.Status{}
+	var missing []error
 	for _, address := range c.Admin {
 		var s node.Status
 		if err := ask(address, "/status", &s); err != nil {
-			faulty = true
-			_, _ = fmt.Fprintf(table, "%s\t%v\n", address, err)
-			continue
-		}
-		if c.JSON {
-			_ = json.NewEncoder(out).Encode(s)
+			missing = append(missing, err)
 			continue
 		}
-		writeStatus(table, s)
+		statuses[s.Instance] = s
 	}
-	if err := table.Flush(); err != nil {
-		return fmt.Errorf("print the table: %w", err)
+	same, err := c.print(out, statuses)
+	if err != nil {
+		return fmt.Errorf("print the status: %w", err)
 	}
-	if faulty {
+	for _, m := range missing {
+		_, _ = fmt.Fprintf(out, "missing: %v\n", m)
+	}
+	if len(missing) > 0 || !same {
 		return errFault
 	}
 	return nil
 }
 
+// print writes the statuses in the form asked for. It returns false when they
+// were compared and differ.
+func (c *statusCommand) print(out io.Writer, statuses map[string]node.Status) (same bool, err error) {
+	names := slices.Sorted(maps.Keys(statuses))
+	switch {
+	case c.Compare:
+		held := map[string]config.Status{}
+		for _, name := range names {
+			held[name] = statuses[name].Configuration
+		}
+		comparison := config.Compare(held)
+		_, err = fmt.Fprint(out, comparison)
+		return comparison.Same(), err
+	case c.JSON:
+		for _, name := range names {
+			if err := json.NewEncoder(out).Encode(statuses[name]); err != nil {
+				return true, err
+			}
+		}
+		return true, nil
+	}
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "INSTANCE\tREADY\tSWITCHES\tALLOWED\tDOCUMENTS")
+	for _, name := range names {
+		writeStatus(table, statuses[name])
+	}
+	return true, table.Flush()
+}
+
 func writeStatus(out io.Writer, s node.Status) {
 	var documents []string
 	switches := "none"
@@ -67,12 +97,15 @@
 		documents = append(documents, fmt.Sprintf("%s@%d", strings.TrimPrefix(d.Key, "services/"), d.Revision))
 	}
 	var allowed []string
-	for _, a := range s.Allowed {
+	for _, a := range s.Configuration.Allowed {
 		allowed = append(allowed, string(a))
 	}
 	if len(allowed) == 0 {
 		allowed = []string{"nothing"}
 	}
+	if !s.Configuration.Confirmed {
+		allowed = []string{"nothing yet"}
+	}
 	_, _ = fmt.Fprintf(out, "%s\t%t\t%s\t%s\t%s\n", s.Instance, s.Ready, switches,
 		strings.Join(allowed, ","), strings.Join(documents, " "))
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -40,7 +41,7 @@
 		Readers:     func() int { return readersPerZone * n.view.ZoneCount() },
 		Rand:        n.cfg.Rand,
 		MaxFleet:    n.cfg.FleetSize,
-		Version:     documentVersion,
+		Version:     n.documentVersion,
 	}, now)
 }
 
@@ -69,32 +70,21 @@
 	return ""
 }
 
-// documentVersion orders documents as config.Newer does: by revision, then for
-// switches by how few actions are allowed, then by digest.
-func documentVersion(key string, body []byte) (spread.Version, error) {
+// documentVersion orders documents as config.Newer does. A rival with the
+// revision in force that loses goes no further than this daemon, so it is noted
+// here.
+func (n *Node) documentVersion(key string, body []byte) (spread.Version, error) {
 	d, err := config.ParseKey("platform:"+key, key, body)
 	if err != nil {
-		return spread.Version{}, err
+		return spread.Version{}, fmt.Errorf("read a document: %w", err)
 	}
-	return versionOf(d), nil
-}
-
-func versionOf(d config.Document) spread.Version {
-	digest, _ := strconv.ParseUint(d.Digest(), 16, 64)
-	minor := digest >> digestShift
-	if s := d.Switches(); s != nil {
-		denied := len(config.Actions()) - len(s.Allowed())
-		if s.AllOff() {
-			denied = len(config.Actions())
-		}
-		minor |= uint64(denied) << (64 - digestShift)
+	if held, ok := n.config.Document(key); ok && held.Revision() == d.Revision() && !config.Newer(d, held) {
+		n.config.Apply(d)
 	}
-	return spread.Version{Major: d.Revision(), Minor: minor}
+	major, minor := d.Order()
+	return spread.Version{Major: major, Minor: minor}, nil
 }
 
-// digestShift leaves room above the digest for the number of denied actions.
-const digestShift = 8
-
 // spreadActions turns what spread asks for into commands.
 func (n *Node) spreadActions(actions []spread.Action, now time.Time) []Command {
 	var out []Command
--- a/node/status.go
+++ b/node/status.go
@@ -12,7 +12,15 @@
 	Incarnation uint64           `json:"incarnation"`
 	Ready       bool             `json:"ready"`
 	Documents   []DocumentStatus `json:"documents"`
-	Allowed     []config.Action  `json:"allowed"`
+	// Configuration is what operators compare between daemons.
+	Configuration config.Status `json:"configuration"`
+	// Live and Known count the instances in the daemon's view.
+	Live  int `json:"live"`
+	Known int `json:"known"`
+	// Leaving is true once new work is refused.
+	Leaving  bool `json:"leaving"`
+	InFlight int  `json:"inFlight"`
+	Queued   int  `json:"queued"`
 }
 
 // DocumentStatus is one document in force.
@@ -29,15 +37,16 @@
 }
 
 // Status describes the daemon to operators.
-func (n *Node) Status(time.Time) Status {
-	s := Status{Instance: n.cfg.Self.ID, Incarnation: n.cfg.Incarnation, Ready: n.Ready()}
+func (n *Node) Status(now time.Time) Status {
+	load := n.gate.Load(now)
+	s := Status{
+		Instance: n.cfg.Self.ID, Incarnation: n.cfg.Incarnation, Ready: n.Ready(),
+		Configuration: n.config.Status(),
+		Live:          n.view.LiveCount(), Known: n.view.Len(),
+		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
+	}
 	for _, d := range n.config.Documents() {
 		s.Documents = append(s.Documents, DocumentStatus{Key: d.Key(), Revision: d.Revision(), Digest: d.Digest()})
 	}
-	for _, a := range config.Actions() {
-		if n.config.Allowed(a) {
-			s.Allowed = append(s.Allowed, a)
-		}
-	}
 	return s
 }
