spread: reads of the platform within a share, refused documents, measurements

Counting reads of a fleet that starts, wakes or is cut off all at once first showed up to 1,970 reads in a second at 600 daemons against a share of 500: values were read without jitter, and the harness drew random numbers of 30 bits.

Documents are ordered by the operators' own revision and no longer by the platform's version: a higher version with a lower revision would have reverted a fleet that was replaced one by one. The platform's version only tells whether a value needs reading, so a platform restored from a copy is read again.

--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -68,8 +69,7 @@
 // offers what the sender lacks. It also lists the leaves named in the reply.
 func (s *State) answerOffers(reply *Message, m Message, now time.Time) bool {
 	for _, offer := range m.Offers {
-		if s.wants(offer, now) {
-			s.wanted[offer.Key] = now.Add(wantTimeout)
+		if s.lacks(offer) && s.wants.ask(offer.Key, m.From, now) {
 			reply.Want = append(reply.Want, offer.Key)
 		}
 	}
@@ -100,14 +100,12 @@
 	}
 }
 
-func (s *State) wants(offer Offer, now time.Time) bool {
+func (s *State) lacks(offer Offer) bool {
 	if offer.outlived(s.config.TombstoneLife) {
 		return false
 	}
-	if e, ok := s.store.entries[offer.Key]; ok && offer.Version.Compare(e.Version) <= 0 {
-		return false
-	}
-	return !now.Before(s.wanted[offer.Key])
+	e, ok := s.store.entries[offer.Key]
+	return !ok || offer.Version.Compare(e.Version) > 0
 }
 
 // answerWants sends the items asked for, in messages of bounded size.
@@ -139,7 +137,7 @@
 
 func (s *State) takeItems(actions []Action, m Message, now time.Time) []Action {
 	for _, item := range m.Items {
-		delete(s.wanted, item.Key)
+		delete(s.wants.byKey, item.Key)
 		actions = s.take(actions, item, now, s.Confirmed(now))
 	}
 	return actions
@@ -150,6 +148,9 @@
 	if err := item.check(); err != nil {
 		return append(actions, Action{Kind: Refuse, Item: item, Err: err})
 	}
+	if key := strings.TrimPrefix(item.Key, RefusedPrefix); item.Source > s.reading.known[key] {
+		s.reading.known[key] = item.Source
+	}
 	if !s.store.put(item, now) {
 		return actions
 	}
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -18,8 +19,9 @@
 
 // letter is a message on its way.
 type letter struct {
-	to      int
-	message Message
+	from, to int
+	due      time.Time
+	message  Message
 }
 
 // platform is a stand-in whose readers may get what it held some time ago.
@@ -29,6 +31,12 @@
 	old      map[string]uint64
 	stale    bool
 	version  uint64
+	// size is about how long a document is, in bytes; below zero, it is none.
+	size int
+	// ahead is how far the operators' revision is ahead of the version.
+	ahead uint64
+	// cutSide, if set, is the side that can't read.
+	cutSide int
 }
 
 func (p *platform) values() map[string]uint64 {
@@ -51,16 +59,39 @@
 	return newest, keys
 }
 
-func body(key string, version uint64) []byte { return fmt.Appendf(nil, "%s at %d", key, version) }
+// body returns a document whose revision, the operators' own, is version.
+func (p *platform) body(version uint64) []byte {
+	if p.size < 0 {
+		return []byte("no document")
+	}
+	return fmt.Appendf(nil, "revision %-*d", p.size, version+p.ahead)
+}
+
+func revision(_ string, body []byte) (Version, error) {
+	var v Version
+	if _, err := fmt.Sscanf(string(body), "revision %d", &v.Major); err != nil {
+		return Version{}, fmt.Errorf("document: %w", err)
+	}
+	return v, nil
+}
 
 // machine is one daemon of the fleet.
 type machine struct {
 	*State
 	frozen bool
 	side   int
+	listed bool
 	seen   map[string]Version
 }
 
+// waiting is a read of the platform that is not answered yet.
+type waiting struct {
+	from    int
+	machine *machine
+	read    Read
+	due     time.Time
+}
+
 // fleet is a handful of machines joined by undelivered messages.
 type fleet struct {
 	draw     func(n int) int
@@ -68,15 +99,33 @@
 	machines []*machine
 	mail     []letter
 	platform platform
+	// links holds the neighbours and readers the readers of the platform.
+	links   [][]string
+	readers map[int]bool
+	// latency, if set, is how long a message takes; loss is how many in a
+	// hundred are lost; posted, if set, sees each message sent, and reads counts
+	// reads of the platform by the second.
+	latency func(from, to int) time.Duration
+	loss    int
+	posted  func(letter)
+	reads   map[int64]int
+	// watches holds the reads that the platform has not answered yet.
+	watches []waiting
 	// tamper, if set, breaks a machine before it takes a message.
 	tamper func(*State, Message)
 }
 
 func newFleet(size int, draw func(int) int) *fleet {
-	f := &fleet{draw: draw, now: epoch}
+	f := &fleet{draw: draw, now: epoch, readers: map[int]bool{0: true, 1: true}, reads: map[int64]int{}}
 	f.platform = platform{versions: map[string]uint64{}, old: map[string]uint64{}}
 	f.machines = make([]*machine, size)
+	f.links = make([][]string, size)
 	for i := range f.machines {
+		for j := range f.machines {
+			if j != i && size < 10 {
+				f.links[i] = append(f.links[i], strconv.Itoa(j))
+			}
+		}
 		f.start(i)
 	}
 	return f
@@ -84,21 +133,24 @@
 
 // start puts a fresh machine, which holds nothing, at a place.
 func (f *fleet) start(i int) {
-	var others []string
-	for j := range f.machines {
-		if j != i {
-			others = append(others, fmt.Sprint(j))
+	m := &machine{seen: map[string]Version{}, listed: true}
+	f.machines[i] = m
+	ifListed := func(n int) int {
+		if !m.listed {
+			return 1
 		}
+		return n
 	}
-	f.machines[i] = &machine{seen: map[string]Version{}, State: New(Config{
-		Self:       fmt.Sprint(i),
-		Neighbours: func() []string { return others },
-		Other:      func() string { return others[f.draw(len(others))] },
-		Live:       func() int { return len(f.machines) },
-		Reader:     func() bool { return i < 2 },
-		Readers:    func() int { return 2 },
-		Rand:       func() uint64 { return uint64(f.draw(1 << 30)) },
-	}, f.now)}
+	m.State = New(Config{
+		Self:       strconv.Itoa(i),
+		Neighbours: func() []string { return f.links[i][:min(len(f.links[i]), ifListed(9)-1)] },
+		Other:      func() string { return strconv.Itoa((i + 1 + f.draw(len(f.machines)-1)) % len(f.machines)) },
+		Live:       func() int { return ifListed(len(f.machines)) },
+		Reader:     func() bool { return f.readers[i] },
+		Readers:    func() int { return len(f.readers) },
+		Version:    revision,
+		Rand:       func() uint64 { return uint64(f.draw(1 << 62)) },
+	}, f.now)
 }
 
 func (f *fleet) do(i int, actions []Action) {
@@ -107,18 +159,48 @@
 		actions = actions[1:]
 		switch a.Kind {
 		case Send:
-			var to int
-			_, _ = fmt.Sscan(a.To, &to)
-			f.mail = append(f.mail, letter{to, a.Message})
+			f.post(i, a)
 		case ReadPlatform:
-			actions = append(actions, f.answer(f.machines[i].State, a.Read)...)
+			f.reads[f.now.Unix()]++
+			f.watches = append(f.watches, waiting{i, f.machines[i], a.Read, f.now.Add(a.Read.Wait)})
+			f.answerWatches()
 		}
 	}
 }
 
-func (f *fleet) answer(s *State, read Read) []Action {
+func (f *fleet) post(from int, a Action) {
+	to, _ := strconv.Atoi(a.To)
+	l := letter{from: from, to: to, message: a.Message}
+	if f.latency != nil {
+		l.due = f.now.Add(f.latency(from, to))
+	}
+	if f.posted != nil {
+		f.posted(l)
+	}
+	f.mail = append(f.mail, l)
+}
+
+// answerWatches answers reads whose wait is over or that have news.
+func (f *fleet) answerWatches() {
+	watches := f.watches
+	f.watches = nil
+	for _, w := range watches {
+		news := w.read.Kind == ReadIndex && !f.platform.stale && f.platform.version > w.read.After
+		if f.now.Before(w.due) && !news {
+			f.watches = append(f.watches, w)
+		} else if f.machines[w.from] == w.machine && !w.machine.frozen {
+			f.do(w.from, f.answer(w.machine, w.read))
+		}
+	}
+}
+
+func (f *fleet) answer(m *machine, read Read) []Action {
+	s := m.State
+	if read.Kind == ReadInstances && !f.platform.down {
+		m.listed = true
+	}
 	switch {
-	case f.platform.down:
+	case f.platform.down || m.side != 0 && m.side == f.platform.cutSide:
 		return s.Failed(read, f.now)
 	case read.Kind == ReadInstances:
 		return s.Instances(1, f.now)
@@ -130,18 +212,12 @@
 	if !ok {
 		return s.Failed(read, f.now)
 	}
-	return s.Value(read.Key, version, body(read.Key, version), f.now)
+	return s.Value(read.Key, version, f.platform.body(version), f.now)
 }
 
-func (f *fleet) deliver(at int, keep bool) {
-	l := f.mail[at]
-	if !keep {
-		f.mail = slices.Delete(f.mail, at, at+1)
-	}
-	var from int
-	_, _ = fmt.Sscan(l.message.From, &from)
+func (f *fleet) deliver(l letter) {
 	m := f.machines[l.to]
-	if m.frozen || m.side != f.machines[from].side {
+	if m.frozen || m.side != f.machines[l.from].side || f.draw(100) < f.loss {
 		return
 	}
 	if f.tamper != nil {
@@ -158,6 +234,7 @@
 			f.do(i, m.Tick(f.now))
 		}
 	}
+	f.answerWatches()
 }
 
 func (f *fleet) publish(key string) {
@@ -202,13 +279,13 @@
 		return
 	}
 	at := f.draw(len(f.mail))
-	switch f.draw(8) {
-	case 0:
+	l := f.mail[at]
+	fate := f.draw(8)
+	if fate != 0 {
 		f.mail = slices.Delete(f.mail, at, at+1)
-	case 1:
-		f.deliver(at, true)
-	default:
-		f.deliver(at, false)
+	}
+	if fate != 1 {
+		f.deliver(l)
 	}
 }
 
@@ -225,13 +302,24 @@
 	return nil
 }
 
+// turn moves time on and delivers what is due.
+func (f *fleet) turn(d time.Duration) {
+	f.advance(d)
+	mail := f.mail
+	f.mail = nil
+	for _, l := range mail {
+		if l.due.After(f.now) {
+			f.mail = append(f.mail, l)
+			continue
+		}
+		f.deliver(l)
+	}
+}
+
 // run lets all messages through for some time.
 func (f *fleet) run(d time.Duration) error {
 	for end := f.now.Add(d); f.now.Before(end); {
-		f.advance(50 * time.Millisecond)
-		for n := len(f.mail); n > 0; n-- {
-			f.deliver(0, false)
-		}
+		f.turn(50 * time.Millisecond)
 		if err := f.check(); err != nil {
 			return err
 		}
--- a/spread/item.go
+++ b/spread/item.go
@@ -19,9 +19,14 @@
 	ErrBadKey       = errors.New("bad key")
 )
 
-// Version orders the bodies of one key. Of a document Major is the revision
-// and Minor a digest, so that two bodies of one revision have an order too. Of
-// a membership record they are what membership.Record.Order returns.
+// RefusedPrefix begins the key under which a refused document travels, so that
+// every daemon can report it. Its version is the platform's, and its body is
+// empty if it was larger than MaxBody.
+const RefusedPrefix = "refused/"
+
+// Version orders the bodies of one key. Of a document Major is the operators'
+// revision and Minor what orders two documents of one revision. Of a membership
+// record they are what membership.Record.Order returns.
 type Version struct {
 	Major uint64 `json:"major"`
 	Minor uint64 `json:"minor"`
@@ -40,6 +45,9 @@
 	Key     string  `json:"key"`
 	Version Version `json:"version"`
 	Body    []byte  `json:"body,omitempty"`
+	// Source is the platform's version at which the body was read, so that
+	// other readers need not read it.
+	Source uint64 `json:"source,omitempty"`
 	// Tombstone marks an item that is forgotten after Config.TombstoneLife.
 	Tombstone bool `json:"tombstone,omitempty"`
 	// AgeMs is how long a tombstone has existed, counted on its way from
--- a/spread/platform.go
+++ b/spread/platform.go
@@ -45,6 +45,9 @@
 	// volunteerMin is the least pause between two reads of a daemon that is no
 	// reader.
 	volunteerMin = 2 * time.Second
+	// behindLimit is how long the platform may be behind what was read before
+	// the whole index is read again.
+	behindLimit = 30 * time.Second
 	// maxValuesInFlight bounds the values read at the same time.
 	maxValuesInFlight = 4
 )
@@ -70,7 +73,15 @@
 	index     watch
 	instances watch
 
-	// wanted holds the revision to read of each key, queue their order.
+	// known holds the platform's version of each key that was read here or at
+	// another daemon.
+	known map[string]uint64
+	// behind is when the platform's index was first seen to be older than what
+	// was read before, or zero.
+	behind time.Time
+
+	// wanted holds the platform's version to read of each key, queue their
+	// order.
 	wanted   map[string]uint64
 	queue    []string
 	inFlight map[string]time.Time
@@ -84,6 +95,7 @@
 // cannot know the size of the fleet yet, and all of it may be starting.
 func (s *State) startReading(now time.Time) {
 	s.reading = reading{
+		known:    map[string]uint64{},
 		wanted:   map[string]uint64{},
 		inFlight: map[string]time.Time{},
 	}
@@ -122,20 +134,14 @@
 func (s *State) readDue() time.Time {
 	r := &s.reading
 	due := r.volunteerAt
-	earlier := func(at time.Time) {
-		if due.IsZero() || at.Before(due) {
-			due = at
-		}
-	}
 	if due.IsZero() {
 		due = s.compareAt
 	}
 	if s.config.Reader() && s.listed() {
-		earlier(r.index.due)
-		earlier(r.instances.due)
+		due = earlier(due, earlier(r.index.due, r.instances.due))
 	}
 	if len(r.queue) > 0 && len(r.inFlight) < maxValuesInFlight {
-		earlier(r.valueAt)
+		due = earlier(due, r.valueAt)
 	}
 	return due
 }
@@ -238,23 +244,48 @@
 func (s *State) Index(version uint64, keys []KeyVersion, now time.Time) []Action {
 	s.touch(now, now)
 	r := &s.reading
+	s.noteIndex(version, now)
 	r.index.succeed(version, now)
 	for _, key := range keys {
 		if s.holds(key) || r.wanted[key.Key] >= key.Version {
 			continue
 		}
 		if _, ok := r.wanted[key.Key]; !ok {
-			at := int(s.config.Rand() % uint64(len(r.queue)+1))
-			r.queue = slices.Insert(r.queue, at, key.Key)
+			r.queue = slices.Insert(r.queue, s.placeInQueue(key.Key), key.Key)
 		}
 		r.wanted[key.Key] = key.Version
 	}
 	return s.Tick(now)
 }
 
+// placeInQueue is random, so that readers begin with different keys.
+func (s *State) placeInQueue(key string) int {
+	if key == s.config.First || len(s.reading.queue) == 0 {
+		return 0
+	}
+	return 1 + int(s.config.Rand()%uint64(len(s.reading.queue)))
+}
+
 func (s *State) holds(key KeyVersion) bool {
-	e, ok := s.store.entries[key.Key]
-	return ok && e.Version.Major >= key.Version
+	return s.reading.known[key.Key] >= key.Version
+}
+
+// noteIndex begins the reading anew once the platform has been behind for so
+// long that it may have been restored from a copy. Nothing goes back by that,
+// as documents are ordered by the operators' own revisions.
+func (s *State) noteIndex(version uint64, now time.Time) {
+	r := &s.reading
+	if version >= r.index.after {
+		r.behind = time.Time{}
+		return
+	}
+	if r.behind.IsZero() {
+		r.behind = now
+	}
+	if now.Sub(r.behind) >= behindLimit {
+		r.behind, r.index.after = time.Time{}, 0
+		clear(r.known)
+	}
 }
 
 // Instances notes the version of the platform's list that was read. The list
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -18,11 +18,7 @@
 // safe for concurrent use.
 package spread
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // Defaults of Config.
 const (
@@ -31,7 +27,7 @@
 	DefaultReadShare     = 500
 	DefaultMaxFleet      = 3000
 	DefaultWatchWait     = 5 * time.Second
-	DefaultReaderTimeout = 15 * time.Second
+	DefaultReaderTimeout = 10 * time.Second
 	DefaultConfirmWait   = 20 * time.Second
 	DefaultTombstoneLife = 24 * time.Hour
 )
@@ -41,8 +37,6 @@
 	pushDelay = 50 * time.Millisecond
 	// firstCompareEvery is the pace of a daemon that is not confirmed.
 	firstCompareEvery = 200 * time.Millisecond
-	// wantTimeout is how long an item asked for may take to come.
-	wantTimeout = time.Second
 	// otherEvery is how many comparisons go to neighbours for each that goes
 	// to any other instance.
 	otherEvery = 4
@@ -71,13 +65,16 @@
 	Readers func() int
 	// Rand returns a random number.
 	Rand func() uint64
-	// Digest tells apart two bodies of one revision. The default is xxhash.
-	Digest func(body []byte) uint64
+	// Version returns the version of a document read from the platform, which
+	// is the operators' own and not the platform's, or why it is refused.
+	Version func(key string, body []byte) (Version, error)
 
 	// Fanout is how many neighbours a daemon offers news to.
 	Fanout int
 	// CompareEvery is the pause between two comparisons with another daemon.
 	CompareEvery time.Duration
+	// First is the key that is read from the platform before all others.
+	First string
 	// ReadShare is the fleet's share of the platform's reads per second.
 	ReadShare int
 	// MaxFleet is the size to assume of the fleet before the list is known.
@@ -102,9 +99,6 @@
 	setDuration(&c.ReaderTimeout, DefaultReaderTimeout)
 	setDuration(&c.ConfirmWait, DefaultConfirmWait)
 	setDuration(&c.TombstoneLife, DefaultTombstoneLife)
-	if c.Digest == nil {
-		c.Digest = xxhash.Sum64
-	}
 	return c
 }
 
@@ -125,8 +119,7 @@
 	config Config
 	store  store
 
-	// wanted holds when each item asked for is overdue.
-	wanted map[string]time.Time
+	wants wants
 
 	// hot holds the keys to offer to neighbours at flushAt.
 	hot     []string
@@ -149,7 +142,7 @@
 	s := &State{
 		config:    config.withDefaults(),
 		store:     newStore(),
-		wanted:    map[string]time.Time{},
+		wants:     wants{byKey: map[string]want{}},
 		heard:     map[string]time.Time{},
 		compareAt: now,
 	}
@@ -168,19 +161,20 @@
 	if s.flushDue(now) {
 		actions = s.flush(actions, now)
 	}
+	actions = s.askAgain(actions, now)
 	return s.read(actions, now)
 }
 
 // WakeAt returns when Tick is due next.
 func (s *State) WakeAt() time.Time {
 	at := s.compareAt
-	if s.flushPending() && s.flushAt.Before(at) {
-		at = s.flushAt
+	if s.flushPending() {
+		at = earlier(at, s.flushAt)
 	}
-	if due := s.readDue(); due.Before(at) {
-		at = due
+	if s.wants.pending() {
+		at = earlier(at, s.wants.due)
 	}
-	return at
+	return earlier(at, s.readDue())
 }
 
 // Put takes in an item of this daemon's own and offers it to neighbours.
@@ -214,7 +208,7 @@
 // so it compares with all neighbours at once and is not confirmed until then.
 func (s *State) Woke(now time.Time) []Action {
 	s.confirm.restart(s.round+1, now)
-	clear(s.wanted)
+	clear(s.wants.byKey)
 	s.rereadAfterPause(now)
 	var actions []Action
 	for _, to := range s.config.Neighbours() {
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -194,6 +194,68 @@
 	}
 }
 
+// A refused document travels too, and takes no good one out of place.
+func TestRefusedDocumentIsKnownEverywhere(t *testing.T) {
+	f := newFleet(4, seeded(1))
+	f.publish("switches")
+	if err := f.settle(settling); err != nil {
+		t.Fatal(err)
+	}
+	f.publish("switches")
+	f.platform.size = -1
+	if err := f.run(settling); err != nil {
+		t.Fatal(err)
+	}
+	for i, m := range f.machines {
+		good, _ := m.Get("switches")
+		refused, ok := m.Get(RefusedPrefix + "switches")
+		if good.Version.Major != 1 || !ok || refused.Version.Major != 2 {
+			t.Errorf("machine %d holds %v, refused %v", i, good.Version, refused.Version)
+		}
+	}
+}
+
+// A platform restored from a copy counts its versions from there. What is
+// published after that is still read, and nothing of the copy is taken back.
+func TestRestoredPlatformIsReadAgain(t *testing.T) {
+	f := newFleet(4, seeded(1))
+	for range 9 {
+		f.publish("switches")
+	}
+	if err := f.settle(settling); err != nil {
+		t.Fatal(err)
+	}
+	f.platform.version, f.platform.versions["switches"], f.platform.ahead = 3, 3, 0
+	if err := f.run(settling); err != nil {
+		t.Fatal(err)
+	}
+	f.platform.ahead = 10
+	f.publish("switches")
+	if err := f.run(settling); err != nil {
+		t.Fatal(err)
+	}
+	if item, _ := f.machines[3].Get("switches"); item.Version.Major != 14 || item.Source != 4 {
+		t.Errorf("held: %+v", item)
+	}
+}
+
+// The switches are read before all other documents.
+func TestFirstIsReadFirst(t *testing.T) {
+	f := newFleet(2, seeded(1))
+	s := f.machines[1].State
+	s.config.First = "switches"
+	keys := []KeyVersion{{"a", 1}, {"b", 2}, {"switches", 3}, {"c", 4}}
+	for _, action := range s.Index(4, keys, epoch) {
+		if action.Kind == ReadPlatform && action.Read.Kind == ReadValue {
+			if action.Read.Key != "switches" {
+				t.Errorf("read %q first", action.Read.Key)
+			}
+			return
+		}
+	}
+	t.Error("nothing read")
+}
+
 // Tombstones carry their age, so that all daemons forget them together.
 func TestTombstonesAreForgottenEverywhere(t *testing.T) {
 	f := newFleet(4, seeded(3))
--- a/spread/values.go
+++ b/spread/values.go
@@ -3,11 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // connectedVolunteers is how many daemons may start reading before the news
 // that the platform answers has reached all others.
-const connectedVolunteers = 32
+const connectedVolunteers = 16
 
 // readValues asks for wanted values at this daemon's pace. A value that came
 // by another daemon meanwhile is not read.
@@ -42,7 +44,8 @@
 			readers = s.config.Live()
 		}
 	}
-	return seconds(float64(max(readers, 1)) / (0.25 * float64(s.config.ReadShare)))
+	gap := seconds(float64(max(readers, 1)) / (0.25 * float64(s.config.ReadShare)))
+	return gap/2 + s.jitter(gap)
 }
 
 func (s *State) retryOverdue(now time.Time) {
@@ -66,14 +69,14 @@
 	}
 }
 
-// Value takes in a value of the platform with its revision.
-func (s *State) Value(key string, revision uint64, body []byte, now time.Time) []Action {
+// Value takes in a value of the platform with the platform's version of it. A
+// refused one is passed on under RefusedPrefix.
+func (s *State) Value(key string, version uint64, body []byte, now time.Time) []Action {
 	s.touch(now, now)
 	r := &s.reading
 	delete(r.inFlight, key)
-	item := Item{Key: key, Version: Version{Major: revision, Minor: s.config.Digest(body)}, Body: body}
-	actions := s.take(nil, item, now, true)
-	if r.wanted[key] > revision {
+	actions := s.take(nil, s.document(key, version, body), now, true)
+	if r.wanted[key] > version {
 		r.queue = append(r.queue, key)
 		r.valueAt = now.Add(s.valueGap(now) + backoffMin + s.jitter(backoffMin))
 	} else {
@@ -82,6 +85,23 @@
 	return append(actions, s.Tick(now)...)
 }
 
+func (s *State) document(key string, version uint64, body []byte) Item {
+	item := Item{Key: key, Body: body, Source: version}
+	err := item.check()
+	if err == nil {
+		item.Version, err = s.config.Version(key, body)
+	}
+	if err == nil {
+		return item
+	}
+	item.Key = RefusedPrefix + key
+	item.Version = Version{Major: version, Minor: xxhash.Sum64(body)}
+	if len(body) > MaxBody {
+		item.Body = nil
+	}
+	return item
+}
+
 // Failed notes that a read was not answered.
 func (s *State) Failed(read Read, now time.Time) []Action {
 	r := &s.reading
