--- a/membership/group.go
+++ b/membership/group.go
@@ -51,7 +51,6 @@
 		v.groups[r.Service] = g
 	}
 	if !present || m.Service != r.Service {
-		m.ID = r.ID
 		g.add(m)
 	}
 	g.dirty = true
--- a/membership/list.go
+++ b/membership/list.go
@@ -1,9 +1,6 @@
 package membership
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // ListEntry is one line of the platform's list.
 type ListEntry struct {
@@ -20,7 +17,7 @@
 		return nil
 	}
 	v.listVersion = version
-	for _, m := range v.members {
+	for _, m := range v.all.members {
 		m.listed = false
 	}
 	var changed []Record
@@ -88,7 +85,7 @@
 func (v *View) mergeAbsence(now time.Time) []Record {
 	var lost []*member
 	live, lostLive := 0, 0
-	for _, m := range v.members {
+	for _, m := range v.all.members {
 		if m.State == Live {
 			live++
 		}
@@ -104,7 +101,6 @@
 	if v.held {
 		return nil
 	}
-	slices.SortFunc(lost, compareMembers)
 	var changed []Record
 	for _, m := range lost {
 		changed = append(changed, v.mark(m, Gone, now))
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -86,8 +86,11 @@
 
 // View is one daemon's knowledge of all instances.
 type View struct {
-	config     Config
-	members    map[string]*member
+	config  Config
+	members map[string]*member
+	// all holds the members in the order of their IDs, so that nothing depends
+	// on the order of a map.
+	all        group
 	groups     map[string]*group
 	generation uint64
 
@@ -110,15 +113,16 @@
 type member struct {
 	Record
 	hash uint64
-	// since is when the present state was learned; known is when the present
-	// incarnation was learned, with the list's version at that moment.
+	// since is when the present state was learned; known is when the instance
+	// was last learned to be live, with the list's version at that moment. What
+	// the list says may be of the time before.
 	since        time.Time
 	known        time.Time
 	knownVersion uint64
 	// heard is the last direct word of the present incarnation, or zero.
 	heard time.Time
 	// listed tells whether the newest list has the instance; listedLive
-	// whether some list had this incarnation as live.
+	// whether some list since known had it as live.
 	listed     bool
 	listedLive bool
 	// absent is when the list was first seen without the instance, or zero.
@@ -174,12 +178,16 @@
 	m, ok := v.members[r.ID]
 	if !ok {
 		m = &member{hash: xxhash.Sum64String(r.ID)}
+		m.ID = r.ID
 		v.members[r.ID] = m
+		v.all.add(m)
 	}
 	if !ok || m.Incarnation != r.Incarnation {
+		m.heard, m.refuted = time.Time{}, false
+	}
+	if !ok || m.Incarnation != r.Incarnation || m.State != Live && r.State == Live {
 		m.known, m.knownVersion = now, v.listVersion
-		m.heard, m.absent = time.Time{}, time.Time{}
-		m.listedLive, m.refuted = false, false
+		m.absent, m.listedLive = time.Time{}, false
 	}
 	if !ok || m.State != r.State {
 		m.since = now
@@ -193,6 +201,7 @@
 // remove forgets an instance.
 func (v *View) remove(m *member) {
 	v.groups[m.Service].remove(m)
+	v.all.remove(m)
 	delete(v.members, m.ID)
 	v.generation++
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -24,6 +24,12 @@
 	return Record{Instance: instance(id), Incarnation: incarnation, State: state}
 }
 
+func returned(id string, incarnation uint64) Record {
+	r := record(id, incarnation, Live)
+	r.Sequence = 1
+	return r
+}
+
 func entry(id string, state State) ListEntry {
 	return ListEntry{Instance: instance(id), State: state}
 }
@@ -56,6 +62,8 @@
 		"leaving of the earlier life": {[]Record{record("b", 3, Live)}, []list{{1, 1, with(entry("b", Leaving))}}, Live},
 		"leaving of this life": {[]Record{record("b", 3, Live)},
 			[]list{{1, 1, with(entry("b", Live))}, {2, 2, with(entry("b", Leaving))}}, Leaving},
+		"leaving before the upstream returned": {[]Record{record("b", 3, Live), record("b", 3, Leaving), returned("b", 3)},
+			[]list{{1, 1, with(entry("b", Leaving))}}, Live},
 		"leaving long after the start": {[]Record{record("b", 3, Live)},
 			[]list{{1, 1, with(entry("b", Leaving))}, {60, 2, with(entry("b", Leaving))}}, Leaving},
 	}
@@ -221,9 +229,7 @@
 	if changed := v.MergeList(others, 6, at(90)); len(changed) != 1 || changed[0].State != Gone {
 		t.Fatalf("absence not believed: %v", changed)
 	}
-	denial := record("b", 2, Live)
-	denial.Sequence = 1
-	if !v.Merge(denial, at(91)) || len(v.Serving("faults")) != 4 {
+	if !v.Merge(returned("b", 2), at(91)) || len(v.Serving("faults")) != 4 {
 		t.Fatal("denial not accepted")
 	}
 	if changed := v.MergeList(others, 7, at(600)); len(changed) != 0 {
--- a/membership/overlay.go
+++ b/membership/overlay.go
@@ -20,7 +20,7 @@
 type overlay struct {
 	generation uint64
 	neighbours []Record
-	live       int
+	live       []*member
 	zones      int
 	// rank is this daemon's place among the live ones of its zone.
 	rank int
@@ -55,7 +55,20 @@
 func (v *View) Neighbours() []Record { return v.refresh().neighbours }
 
 // LiveCount returns the number of live instances, this one included.
-func (v *View) LiveCount() int { return v.refresh().live }
+func (v *View) LiveCount() int { return len(v.refresh().live) }
+
+// Other returns a live instance other than this one, chosen by a random number,
+// or false if there is none.
+func (v *View) Other(random uint64) (Record, bool) {
+	live := v.refresh().live
+	for i := range min(len(live), 2) {
+		m := live[(random+uint64(i))%uint64(len(live))]
+		if m.ID != v.config.Self.ID {
+			return m.Record, true
+		}
+	}
+	return Record{}, false
+}
 
 // ZoneCount returns the number of availability zones with live instances.
 func (v *View) ZoneCount() int { return v.refresh().zones }
@@ -91,15 +104,13 @@
 	self := v.self()
 	zone := mix(xxhash.Sum64String(self.Region), xxhash.Sum64String(self.AvailabilityZone))
 	own := mix(zone, self.hash)
-	o := overlay{generation: v.generation}
-	zones := map[place]bool{}
+	o := overlay{generation: v.generation, live: v.overlay.live[:0]}
 	var inZone, inRegion, elsewhere candidates
-	for _, m := range v.members {
+	for _, m := range v.all.members {
 		if m.State != Live {
 			continue
 		}
-		o.live++
-		zones[m.place()] = true
+		o.live = append(o.live, m)
 		if m == self {
 			continue
 		}
@@ -116,11 +127,22 @@
 			elsewhere.add(c, neighboursTotal)
 		}
 	}
-	o.zones = len(zones)
+	o.zones = countZones(o.live)
 	o.neighbours = chooseNeighbours(inZone, inRegion, elsewhere).records()
 	return o
 }
 
+// countZones returns the number of zones; a slice will do, as they are few.
+func countZones(live []*member) int {
+	var zones []place
+	for _, m := range live {
+		if !slices.Contains(zones, m.place()) {
+			zones = append(zones, m.place())
+		}
+	}
+	return len(zones)
+}
+
 // chooseNeighbours takes the heaviest of each kind and fills up from the rest.
 func chooseNeighbours(inZone, inRegion, elsewhere candidates) candidates {
 	zone := min(len(inZone), neighboursInZone)
--- a/membership/word.go
+++ b/membership/word.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const sweepEvery = time.Minute
 
@@ -83,7 +86,7 @@
 // forget drops tombstones that are past their life and that the newest list no
 // longer shows, so that neither an old list nor an old record revives them.
 func (v *View) forget(now time.Time) {
-	for _, m := range v.members {
+	for _, m := range slices.Clone(v.all.members) {
 		old := now.Sub(m.since) > v.config.TombstoneLife
 		if m.State == Gone && old && !m.listed && m.ID != v.config.Self.ID {
 			v.remove(m)
--- a/spread/measure_test.go
+++ b/spread/measure_test.go
@@ -230,6 +230,7 @@
 		"all wake":            {time.Hour, true, func(f *fleet, i int) { f.do(i, f.machines[i].Woke(f.now)) }},
 		"all wake, cut off":   {time.Hour, false, func(f *fleet, i int) { f.machines[i].side = i; f.do(i, f.machines[i].Woke(f.now)) }},
 		"all cut off at once": {0, false, func(f *fleet, i int) { f.machines[i].side = i }},
+		"platform comes back": {0, true, func(f *fleet, _ int) { f.platform.down = true }},
 		"readers die at once": {0, true, func(f *fleet, i int) { f.machines[i].frozen = f.readers[i] }},
 	}
 	for name, test := range tests {
@@ -245,7 +246,8 @@
 				test.disturb(f, i)
 				f.machines[i].config.MaxFleet = size
 			}
-			for range 1800 {
+			for i := range 1800 {
+				f.platform.down = f.platform.down && i < 600
 				f.turn(50 * time.Millisecond)
 			}
 			most, total := 0, 0
