--- a/node/admission.go
+++ b/node/admission.go
@@ -28,7 +28,7 @@
 func (n *Node) peerRequest(m PeerRequest, now time.Time) []Command {
 	id := m.Request.ID
 	if reason, ok := n.acceptable(m, now); !ok {
-		return []Command{Refuse{ID: id, Outcome: call.NotRun, Reason: reason}}
+		return []Command{Refuse{ID: id, Outcome: proved(m.Request), Reason: reason}}
 	}
 	if n.runs[id] != nil {
 		// The same attempt twice is a fault of the sender.
@@ -72,6 +72,16 @@
 	return Refuse{ID: run.request.ID, Outcome: outcome, Reason: reason}
 }
 
+// proved is the outcome of a request that was turned away before its key, if it
+// has one, was looked up. For a key notRun would cover earlier sends, of which
+// nothing is known here.
+func proved(r call.Request) call.Outcome {
+	if r.Keyed() && !r.Granted {
+		return call.Unknown
+	}
+	return call.NotRun
+}
+
 // acceptable makes the checks that need nothing but this daemon's own state.
 func (n *Node) acceptable(m PeerRequest, now time.Time) (call.Reason, bool) {
 	self := n.view.Self()
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -40,11 +40,11 @@
 	c := &callState{request: m.Request, above: m.Request.Attempt}
 	service, ok := n.config.Service(m.Request.Service)
 	if !ok {
-		return n.unknownService(m.Request.ID)
+		return n.unknownService(m.Request)
 	}
 	c.service = service
 	if c.selector, ok = service.Select(m.Request.Caller); !ok {
-		return []Command{Answer{m.Request.ID, call.NotRun, call.NoSelector}}
+		return []Command{Answer{m.Request.ID, proved(m.Request), call.NoSelector}}
 	}
 	c.request.Priority = service.Priority(m.Request.Caller)
 	latest := now.Add(service.Limits().Timeout())
@@ -55,18 +55,18 @@
 	n.policy(service, now).First(c.above)
 	target, reason, ok := n.choose(c, now)
 	if !ok {
-		return n.giveUp(c, call.NotRun, reason)
+		return n.giveUp(c, proved(c.request), reason)
 	}
 	return n.forward(c, target, now)
 }
 
 // unknownService tells a name that no document has from having no documents.
-func (n *Node) unknownService(id string) []Command {
+func (n *Node) unknownService(r call.Request) []Command {
 	reason := call.UnknownService
 	if len(n.config.Documents()) == 0 {
 		reason = call.NoConfiguration
 	}
-	return []Command{Answer{id, call.NotRun, reason}}
+	return []Command{Answer{r.ID, proved(r), reason}}
 }
 
 // choose names the upstream for the next attempt, or says why there is none.
@@ -94,7 +94,7 @@
 func (n *Node) forward(c *callState, target string, now time.Time) []Command {
 	record, ok := n.view.Lookup(target)
 	if !ok {
-		return n.giveUp(c, call.NotRun, call.NoUpstream)
+		return n.giveUp(c, proved(c.request), call.NoUpstream)
 	}
 	c.made++
 	c.tried = append(c.tried, target)
@@ -129,6 +129,9 @@
 	}
 	n.learn(c, a, m.Result, now)
 	c.bodyTaken = c.bodyTaken || m.Result.BodyTaken
+	if m.Result.Outcome == call.NotRun && !m.Result.Answered {
+		m.Result.Outcome = proved(c.request)
+	}
 	if m.Result.Outcome == call.Unknown {
 		c.unknown = true
 	}
--- a/node/message.go
+++ b/node/message.go
@@ -43,6 +43,9 @@
 	Latency time.Duration
 	// Spent is the part of Latency that the other daemon says it took.
 	Spent time.Duration
+	// Answered means that the other daemon itself said so, rather than that it
+	// could not be asked.
+	Answered bool
 	// Unreachable means that no connection could be opened.
 	Unreachable bool
 	// BodyTaken means that part of a streamed body is gone.
--- a/node/status.go
+++ b/node/status.go
@@ -41,12 +41,20 @@
 	load := n.gate.Load(now)
 	s := Status{
 		Instance: n.cfg.Self.ID, Incarnation: n.cfg.Incarnation, Ready: n.Ready(),
+		Documents:     n.Documents(),
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
 	}
-	for _, d := range n.config.Documents() {
-		s.Documents = append(s.Documents, DocumentStatus{Key: d.Key(), Revision: d.Revision(), Digest: d.Digest()})
-	}
 	return s
 }
+
+// Documents lists the documents in force, by key.
+func (n *Node) Documents() []DocumentStatus {
+	held := n.config.Documents()
+	list := make([]DocumentStatus, 0, len(held))
+	for _, d := range held {
+		list = append(list, DocumentStatus{Key: d.Key(), Revision: d.Revision(), Digest: d.Digest()})
+	}
+	return list
+}
