--- a/spread/platform.go
+++ b/spread/platform.go
@@ -37,7 +37,7 @@
 	pollGap = 200 * time.Millisecond
 	// backoffMin and backoffMax bound the pause after a failed read.
 	backoffMin = 500 * time.Millisecond
-	backoffMax = 10 * time.Second
+	backoffMax = 4 * time.Second
 	// readTimeout is when a read that was not answered is taken for failed.
 	readTimeout = 10 * time.Second
 	// bareWait is how long a fresh reader leaves documents to other daemons.
@@ -110,6 +110,10 @@
 	r.instances.due = now.Add(s.jitter(time.Second))
 	clear(r.inFlight)
 	r.volunteerAt = time.Time{}
+	if !s.listed() {
+		// It knows nobody to hear from, so it reads as a fresh daemon does.
+		r.volunteerAt = now.Add(s.jitter(s.startWindow()))
+	}
 }
 
 // listed reports whether other instances can be known, from the platform or
