node: planted faults for the schedules' checkers, and figures by kind of key

Cause: a checker that never failed proves nothing. Six faults are planted in the world of the schedules (a key nobody looks up, a transport that sends twice, a lost answer told as notRun, a drain the daemon never saw, a daemon that forgets documents, one that hears nobody); each is found within 40 schedules. Found: opaque keys never ran in the schedules, since a new fleet refuses them for the whole key window; the schedules now use a window of 20 s and a fleet of 60 s, and fail when any kind of key never runs.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -45,11 +45,23 @@
 	}, now)
 }
 
+// fewNeighbours is the number of live neighbours below which leaving daemons of
+// the own service count too: they still answer.
+const fewNeighbours = 2
+
 func (n *Node) neighbourIDs() []string {
 	var ids []string
 	for _, r := range n.view.Neighbours() {
 		ids = append(ids, r.ID)
 	}
+	if len(ids) >= fewNeighbours {
+		return ids
+	}
+	for _, m := range n.view.Group(n.cfg.Self.Service) {
+		if m.State == membership.Leaving && m.ID != n.cfg.Self.ID {
+			ids = append(ids, m.ID)
+		}
+	}
 	return ids
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,9 @@
 	// FleetSize is the number of instances to assume before the platform's list
 	// is known.
 	FleetSize int
+	// KeyWindow is how long callers' own keys are good for; the default of
+	// package once when zero. It is the same at all daemons of a service.
+	KeyWindow time.Duration
 	// Choose replaces package balance in experiments; nil keeps it.
 	Choose Choose
 }
@@ -94,6 +97,7 @@
 		book: once.New(once.Config{
 			Self:    once.Incarnation{ID: cfg.Self.ID, Number: cfg.Incarnation},
 			Started: cfg.Started,
+			Window:  cfg.KeyWindow,
 			Rand:    cfg.Rand,
 		}),
 	}
--- a/node/schedule_test.go
+++ b/node/schedule_test.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,9 +24,9 @@
 )
 
 const (
-	// settleTime is longer than a new fleet takes to trust the list, and to
-	// let callers' own keys run.
-	settleTime = 40 * time.Second
+	// settleTime is longer than a new fleet takes to trust the list, and then
+	// to know the whole window of callers' own keys.
+	settleTime = 60 * time.Second
 	faultTime  = 40 * time.Second
 	// healTime is what a configuration has to be in force everywhere.
 	healTime = 15 * time.Second
@@ -37,12 +39,14 @@
 //
 //	go test ./node -run TestSchedules -args -seed 17 -schedules 1
 func TestSchedules(t *testing.T) {
-	var next, orders, ran, notRun, unknown atomic.Uint64
+	var next atomic.Uint64
 	next.Store(*firstSeed)
 	last := *firstSeed + *schedules
 	if testing.Short() {
 		last = *firstSeed + *schedules/10
 	}
+	var mu sync.Mutex
+	total := tally{}
 	var group sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
 		group.Add(1)
@@ -53,25 +57,63 @@
 				for _, f := range w.faults {
 					t.Errorf("seed %d: %s", seed, f)
 				}
-				for _, o := range w.orders {
-					orders.Add(1)
-					switch o.outcome() {
-					case call.Run:
-						ran.Add(1)
-					case call.NotRun:
-						notRun.Add(1)
-					default:
-						unknown.Add(1)
-					}
-				}
+				mu.Lock()
+				total.add(w)
+				mu.Unlock()
 			}
 		}()
 	}
 	group.Wait()
-	t.Logf("%d schedules: %d orders, told run %d, notRun %d, unknown %d",
-		last-*firstSeed, orders.Load(), ran.Load(), notRun.Load(), unknown.Load())
-	if ran.Load() < orders.Load()/4 {
-		t.Error("hardly any order ran: the schedules prove nothing")
+	t.Logf("%d schedules", last-*firstSeed)
+	for _, kind := range slices.Sorted(maps.Keys(total)) {
+		c := total[kind]
+		t.Logf("%-8s %6d orders: run %d, notRun %d, unknown %d; %d were run",
+			kind, c[call.Run]+c[call.NotRun]+c[call.Unknown], c[call.Run], c[call.NotRun], c[call.Unknown], c["ran"])
+		if c["ran"] == 0 {
+			t.Errorf("no order with key %q ran: the schedules prove nothing of it", kind)
+		}
+	}
+}
+
+// tally counts orders by the kind of their key and what their callers were told.
+type tally map[string]map[call.Outcome]int
+
+func (c tally) add(w *world) {
+	for _, o := range w.orders {
+		if c[o.kind] == nil {
+			c[o.kind] = map[call.Outcome]int{}
+		}
+		c[o.kind][o.outcome()]++
+		for _, s := range o.sends {
+			c[o.kind]["ran"] += w.runs[s.id]
+		}
+	}
+}
+
+// TestCheckersCatchPlantedFaults breaks worlds on purpose: each checker must
+// find its fault within a few schedules.
+func TestCheckersCatchPlantedFaults(t *testing.T) {
+	cases := map[string]struct {
+		plant func(*world)
+		want  string
+	}{
+		"a key that nobody looks up":        {func(w *world) { w.plant.grantAll = true }, "times"},
+		"a transport that sends twice":      {func(w *world) { w.plant.twice = true }, "times"},
+		"a lost answer told as notRun":      {func(w *world) { w.plant.lostIsNotRun = true }, "was told notRun, but ran"},
+		"a drain that the daemon never saw": {func(w *world) { w.plant.blindDrain = true }, "after it began to leave"},
+		"a daemon that forgets documents":   {func(w *world) { w.plant.amnesia = true }, "went back"},
+		"a daemon that hears nobody":        {func(w *world) { w.plant.deaf = true }, "holds"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				w := schedule(seed, tc.plant)
+				if slices.ContainsFunc(w.faults, func(f string) bool { return strings.Contains(f, tc.want) }) {
+					return
+				}
+			}
+			t.Fatal("not found in 40 schedules")
+		})
 	}
 }
 
@@ -197,6 +239,9 @@
 		return
 	}
 	m.leftAt = w.now
+	if w.plant.blindDrain {
+		return
+	}
 	w.update(m, node.ProbeEnded{Reading: measure.Reading{State: measure.Draining}})
 }
 
@@ -210,12 +255,12 @@
 
 // newOrder lets a caller send a new order, with a key of some kind or none.
 func (w *world) newOrder() {
-	o := &order{token: fmt.Sprintf("o%d", len(w.orders))}
+	o := &order{token: fmt.Sprintf("o%d", len(w.orders)), kind: "none"}
 	switch w.rand.IntN(4) {
 	case 0:
-		o.key = "opaque-" + o.token
+		o.kind, o.key = "opaque", "opaque-"+o.token
 	case 1:
-		o.key = w.timedKey()
+		o.kind, o.key = "timed", w.timedKey()
 	case 2:
 		m := w.nodes[w.rand.IntN(instances)]
 		if m.dead || w.now.Before(m.frozen) {
@@ -225,7 +270,7 @@
 		if !ok {
 			return
 		}
-		o.key = key
+		o.kind, o.key = "issued", key
 	}
 	w.orders = append(w.orders, o)
 	w.send(o)
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -17,6 +17,7 @@
 const (
 	step       = 50 * time.Millisecond
 	leaveLimit = 3 * time.Second
+	keyWindow  = 20 * time.Second
 	instances  = 4
 )
 
@@ -40,13 +41,21 @@
 	// runs counts the runs of each send of an order, by the send's call ID.
 	runs  map[string]int
 	trace bool
+	plant plant
 	// faults lists what broke a promise.
 	faults []string
 }
 
+// plant breaks a world on purpose, to prove its checkers.
+type plant struct {
+	grantAll, twice, lostIsNotRun, blindDrain, amnesia, deaf bool
+}
+
 // order is what one caller wants to run at most once.
 type order struct {
 	token string
+	// kind is none, issued, timed or opaque.
+	kind  string
 	key   string
 	sends []*send
 }
@@ -114,14 +123,18 @@
 
 // start begins a new life of instance i.
 func (w *world) start(i int) {
-	if old := w.nodes[i]; old != nil {
+	old := w.nodes[i]
+	if old != nil {
 		old.dead = true
 	}
 	w.log("start %s", instance(i).ID)
 	w.nodes[i] = &machine{id: instance(i).ID, highest: map[string]uint64{}, node: node.New(node.Config{
 		Self: instance(i), Incarnation: uint64(w.now.UnixNano()), Started: w.now,
-		Rand: w.rand.Uint64, FleetSize: instances,
+		Rand: w.rand.Uint64, FleetSize: instances, KeyWindow: keyWindow,
 	})}
+	if old != nil && w.plant.amnesia {
+		w.nodes[i].highest = old.highest
+	}
 }
 
 func (w *world) byControl(address string) *machine {
@@ -189,6 +202,9 @@
 func (w *world) sendControl(from *machine, c node.Send) {
 	w.log("send %s %s %s %s", from.id, c.Address, c.Envelope.Kind, c.Envelope.Body)
 	to := w.byControl(c.Address)
+	if w.plant.deaf && c.Address == instance(0).Control {
+		return
+	}
 	if to == nil || w.apart(from.id, to.id) || w.rand.IntN(20) == 0 {
 		return
 	}
@@ -203,6 +219,9 @@
 }
 
 func (w *world) read(m *machine, r spread.Read) {
+	if w.plant.deaf && m.id == instance(0).ID {
+		return
+	}
 	w.log("read %s %+v", m.id, r)
 	if w.down {
 		w.after(m, time.Second, node.ReadFailed{Read: r})
@@ -263,12 +282,23 @@
 		return
 	}
 	w.waiting[r.ID] = p
+	r.Granted = r.Granted || w.plant.grantAll
+	if w.plant.twice {
+		again := r
+		again.ID += "-again"
+		w.waiting[again.ID] = p
+		w.after(to, time.Second, node.PeerRequest{Request: again, From: from.id, Target: target, Incarnation: incarnation})
+	}
 	w.log("forward %s to %s %s", from.id, to.id, r.ID)
 	w.after(to, time.Duration(w.rand.IntN(40))*time.Millisecond, node.PeerRequest{
 		Request: r, From: from.id, Target: target, Incarnation: incarnation,
 	})
 	// The sender gives up at the deadline, whatever becomes of the request.
-	w.end(p, node.Attempt{Outcome: call.Unknown, Reason: call.DeadlineExceeded}, r.Deadline.Sub(w.now))
+	lost := node.Attempt{Outcome: call.Unknown, Reason: call.DeadlineExceeded}
+	if w.plant.lostIsNotRun {
+		lost.Outcome = call.NotRun
+	}
+	w.end(p, lost, r.Deadline.Sub(w.now))
 }
 
 // end tells the sender how its attempt ended. Only the first word counts.
