--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -87,6 +87,7 @@
 		Reason:    call.Reason(h.Peek(call.HeaderReason)),
 		Status:    resp.StatusCode(),
 		BodyTaken: true,
+		Answered:  true,
 	}
 	known := result.Outcome == call.Run || result.Outcome == call.NotRun || result.Outcome == call.Unknown
 	if !known || string(h.Peek(call.HeaderFrom)) != target && result.Reason != call.WrongIncarnation {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -83,6 +83,7 @@
 	a := d.await(ctx, box, f.Request, req)
 	d.mu.Lock()
 	a.result.Load, a.result.HasLoad = d.node.Load(time.Now()), true
+	a.result.Answered = true
 	d.mu.Unlock()
 	return a
 }
