experiment: whole daemons measured against baselines and an oracle

Daemons take about ten seconds to agree after a start, so the fleets of one round start at once and are then measured in turn.

--- /dev/null
+++ b/experiment/table_test.go
@@ -0,0 +1,124 @@
+package experiment_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pomelodoor.example/pomelodoor/experiment"
+)
+
+// The flags of TestTable. A list is comma-separated, and empty means all.
+var (
+	table     = flag.Bool("table", false, "measure and print the tables")
+	sizeList  = flag.String("size", "", "sizes")
+	loadList  = flag.String("load", "0.5,0.8,0.95", "offered loads, as shares of all slots")
+	caseList  = flag.String("case", "", "cases")
+	policyIs  = flag.String("policy", "", "policies")
+	rounds    = flag.Int("rounds", 5, "rounds")
+	seconds   = flag.Float64("seconds", 4, "measured time of a run")
+	warm      = flag.Float64("warm", 1, "time of a run before that, in seconds")
+	serviceMs = flag.Float64("service-ms", 40, "mean service time in milliseconds")
+	seed      = flag.Uint64("seed", 1, "seed of the first round; each further round adds 1")
+)
+
+// picked reports whether a name is on a list.
+func picked(list, name string) bool {
+	return list == "" || slices.Contains(strings.Split(list, ","), name)
+}
+
+// TestTable prints one table for each size, load and case.
+func TestTable(t *testing.T) {
+	if !*table {
+		t.Skip("measures only with -args -table")
+	}
+	for _, size := range experiment.Sizes() {
+		for text := range strings.SplitSeq(*loadList, ",") {
+			load, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, c := range experiment.Cases() {
+				if picked(*sizeList, size.Name) && picked(*caseList, string(c)) {
+					printTable(t, size, load, c)
+				}
+			}
+		}
+	}
+}
+
+// printTable runs all policies, round after round.
+func printTable(t *testing.T, size experiment.Size, load float64, c experiment.Case) {
+	t.Helper()
+	var rows []experiment.Row
+	var list []experiment.Policy
+	for _, p := range policies() {
+		if picked(*policyIs, p.Name) {
+			list = append(list, p)
+			rows = append(rows, experiment.Row{Policy: p.Name})
+		}
+	}
+	began := time.Now()
+	for round := range *rounds {
+		cfg := experiment.RunConfig{
+			Size: size, Case: c, Load: load, Seed: *seed + uint64(round),
+			ServiceTime: time.Duration(*serviceMs * float64(time.Millisecond)),
+			Warm:        time.Duration(*warm * float64(time.Second)),
+			Duration:    time.Duration(*seconds * float64(time.Second)),
+		}
+		for i, result := range runRound(t, cfg, list, round) {
+			rows[i].Results = append(rows[i].Results, result)
+			for _, v := range result.Violations {
+				t.Errorf("%s: %+v", list[i].Name, v)
+			}
+		}
+	}
+	fmt.Printf("\n%s, %s, %.0f %% of slots (%d rounds, %.0f s)\n\n", size.Name, c, 100*load, *rounds, time.Since(began).Seconds())
+	if err := experiment.WriteTable(os.Stdout, rows, "oracle"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// runRound starts a fleet for each policy, all at once because the daemons take
+// their time to agree, then measures one after the other. Each round begins
+// with another policy.
+func runRound(t *testing.T, cfg experiment.RunConfig, list []experiment.Policy, round int) []experiment.Result {
+	t.Helper()
+	fleets := make([]*experiment.Fleet, len(list))
+	errs := make([]error, len(list))
+	var all sync.WaitGroup
+	for i, p := range list {
+		each := cfg
+		each.Policy = p
+		all.Go(func() { fleets[i], errs[i] = experiment.Start(context.Background(), each) })
+	}
+	all.Wait()
+	defer func() {
+		for _, f := range fleets {
+			if f != nil {
+				all.Go(f.Close)
+			}
+		}
+		all.Wait()
+	}()
+	if err := errors.Join(errs...); err != nil {
+		t.Fatal(err)
+	}
+	results := make([]experiment.Result, len(list))
+	for turn := range list {
+		i := (turn + round) % len(list)
+		var err error
+		if results[i], err = fleets[i].Measure(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return results
+}
