Quarantine joined to the node: a crashing request costs at most two upstreams

Cause: nothing kept a request that crashes upstreams from the rest of them; our own retry of an idempotent one took it to the next within a millisecond, before that daemon had heard. Now a broken connection counts as a crash when the upstream takes no new connection; the sender's one retry goes to the trial upstream, and none follows a second crash. Ruled out: no retry at all after a crash, which would cost the innocent requests in flight beside it their answer. Found on the way: a daemon called itself ready before it held the switches, so that its actions were still off; it waits for them now.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -36,6 +36,7 @@
 	ShortBody        Reason = "shortBody"
 	Stale            Reason = "stale"
 	UnknownService   Reason = "unknownService"
+	UpstreamCrashed  Reason = "upstreamCrashed"
 	WrongIncarnation Reason = "wrongIncarnation"
 )
 
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -229,5 +229,6 @@
 	call.ShortBody:        "the request body was cut short",
 	call.Stale:            "the daemon has old knowledge",
 	call.UnknownService:   "no service has the name in the Host header",
+	call.UpstreamCrashed:  "the upstream crashed while it ran the request",
 	call.WrongIncarnation: "the instance has been replaced",
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -36,7 +36,7 @@
  "limits":{"slots":12,"queue":24,"timeoutMs":30000,"maxBodyBytes":67108864},
  "budgets":{"probesPerSecond":5}}`
 
-const switchesDocument = `{"kind":"switches","revision":1,"allow":["retry","eject","spillOver","handOn","shed","slowStart","loadAware","probe"]}`
+const switchesDocument = `{"kind":"switches","revision":1,"allow":["retry","eject","spillOver","handOn","shed","slowStart","loadAware","probe","quarantine"]}`
 
 // startFleet returns once every daemon is ready.
 func startFleet(t testing.TB, size int) *fleet {
@@ -298,6 +298,35 @@
 	}
 }
 
+// TestCrashingRequestCostsAtMostTwoUpstreams covers hard case 9: the caller
+// sends a request that crashes each upstream again and again, through every
+// daemon.
+func TestCrashingRequestCostsAtMostTwoUpstreams(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 5)
+	refused := 0
+	for i := range 20 {
+		resp := do(t, f.listen[i%len(f.listen)], func(req *fasthttp.Request) {
+			req.Header.SetRequestURI("/poison")
+			req.Header.Set("X-Crash", "1")
+		})
+		if string(resp.Header.Peek(call.HeaderOutcome)) == string(call.NotRun) {
+			refused++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	lost := 0
+	for _, w := range f.workers {
+		lost += w.Crashes()
+	}
+	if lost == 0 || lost > 2 || refused < 18 {
+		t.Fatalf("%d upstreams lost, %d of 20 sends refused", lost, refused)
+	}
+	if resp := do(t, f.listen[0], func(*fasthttp.Request) {}); resp.StatusCode() != 200 {
+		t.Fatalf("an innocent request got %d %s", resp.StatusCode(), resp.Body())
+	}
+}
+
 // FuzzCallers writes arbitrary bytes at the port for callers: other callers
 // must still be served.
 func FuzzCallers(f *testing.F) {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"strconv"
 	"time"
 
@@ -14,6 +15,9 @@
 	"pomelodoor.example/pomelodoor/node"
 )
 
+// crashCheck bounds the connection that tells whether the upstream is up.
+const crashCheck = 200 * time.Millisecond
+
 // servePeer takes a request that another daemon has forwarded.
 func (d *Daemon) servePeer(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
@@ -170,7 +174,11 @@
 	err := d.upstream.Do(ctx, req, resp)
 	if err != nil {
 		outcome, reason := failure(ctx, err)
-		crashed := errors.Is(err, exchange.ErrLost) && ctx.Err() == nil && !errors.Is(err, exchange.ErrBodySource)
+		crashed := errors.Is(err, exchange.ErrLost) && ctx.Err() == nil && !errors.Is(err, exchange.ErrBodySource) &&
+			d.upstreamGone()
+		if crashed {
+			reason = call.UpstreamCrashed
+		}
 		cancel()
 		fasthttp.ReleaseResponse(resp)
 		d.ended(node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
@@ -195,6 +203,17 @@
 	return a
 }
 
+// upstreamGone reports whether the upstream no longer takes connections, which
+// tells a crash from one connection that broke.
+func (d *Daemon) upstreamGone() bool {
+	c, err := net.DialTimeout("tcp", d.settings.Upstream, crashCheck)
+	if err != nil {
+		return true
+	}
+	_ = c.Close()
+	return false
+}
+
 // ended tells the node of a run's end. The mailbox closes first: nothing more
 // can come for this request.
 func (d *Daemon) ended(m node.RunEnded) {
--- a/node/admission.go
+++ b/node/admission.go
@@ -19,6 +19,8 @@
 	// must do before the time before.
 	granted bool
 	before  time.Time
+	// watched is true while the quarantine counts the request as in flight.
+	watched bool
 	// handedTo names the sibling that was given the request.
 	handedTo string
 }
@@ -48,6 +50,9 @@
 	if !run.before.IsZero() && run.before.Before(request.Deadline) {
 		request.Deadline = run.before
 	}
+	if c, ok := n.judge(run, now); !ok {
+		return []Command{c}
+	}
 	return n.admit(n.gate.Arrive(request, now), now)
 }
 
@@ -112,8 +117,7 @@
 		}
 		switch a.Kind {
 		case admit.Start:
-			run.started = now
-			out = append(out, Run{ID: a.CallID, Before: run.before})
+			out = append(out, n.start(run, now)...)
 		case admit.Refuse:
 			out = append(out, n.refuseOrHandOn(run, a.Reason, now))
 		case admit.Cancel:
@@ -123,6 +127,17 @@
 	return out
 }
 
+// start runs a request that has its slot, unless it is a suspect that must wait
+// for another.
+func (n *Node) start(run *runState, now time.Time) []Command {
+	if !n.startTrial(run, now) {
+		out := []Command{n.refuse(run, call.NotRun, call.Quarantined, now)}
+		return append(out, n.admit(n.gate.Finish(run.request.ID, 0, now), now)...)
+	}
+	run.started = now
+	return []Command{Run{ID: run.request.ID, Before: run.before}}
+}
+
 // runEnded frees the slot and lets the next request start.
 func (n *Node) runEnded(m RunEnded, now time.Time) []Command {
 	run := n.runs[m.ID]
@@ -131,13 +146,14 @@
 	}
 	delete(n.runs, m.ID)
 	n.settle(run, m, now)
+	out := n.endTrial(run, m, now)
 	failed := m.Outcome != call.Run || faulty(m.Status)
 	n.own.Observe(m.Latency, failed, now)
 	service := m.Latency
 	if failed {
 		service = 0
 	}
-	return n.admit(n.gate.Finish(m.ID, service, now), now)
+	return append(out, n.admit(n.gate.Finish(m.ID, service, now), now)...)
 }
 
 // peerLeft drops a request that nobody waits for.
--- a/node/control.go
+++ b/node/control.go
@@ -26,6 +26,8 @@
 		return n.spreadActions(n.spread.Receive(body, now), now)
 	case kindLoad:
 		return n.siblingLoad(e.From, e.Body, now)
+	case kindSuspects:
+		n.suspectsHeard(e.Body, now)
 	case kindHeartbeat:
 		var body once.Heartbeat
 		if json.Unmarshal(e.Body, &body) == nil {
--- a/node/handon.go
+++ b/node/handon.go
@@ -20,13 +20,18 @@
 	if !ok {
 		return nil, false
 	}
-	record, ok := n.view.Lookup(list[i].ID)
-	if !ok || record.ID == n.self() {
+	return n.handOnTo(run, service, list[i].ID, now)
+}
+
+// handOnTo passes a request to one sibling.
+func (n *Node) handOnTo(run *runState, service *config.Service, target string, now time.Time) (Command, bool) {
+	record, ok := n.view.Lookup(target)
+	if !ok || target == n.self() {
 		return nil, false
 	}
-	run.handedTo = record.ID
+	run.handedTo = target
 	run.started = now
-	n.picker(service).Started(record.ID, now)
+	n.picker(service).Started(target, now)
 	onward := run.request
 	onward.ID += "h"
 	onward.Hops++
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -22,6 +22,8 @@
 	tried []string
 	// open holds the attempts under way.
 	open []attempt
+	// crashed is set once an upstream has crashed under an attempt.
+	crashed bool
 	// unknown is set once an attempt may have run without an answer.
 	unknown   bool
 	bodyTaken bool
@@ -144,7 +146,7 @@
 		// The other attempt may still bring a good answer.
 		return nil
 	}
-	if out, ok := n.again(c, m.Result.Outcome, failed, now); ok {
+	if out, ok := n.again(c, m.Result, failed, now); ok {
 		return out
 	}
 	if failed {
@@ -154,16 +156,34 @@
 }
 
 // again makes another attempt if the policy allows it and an upstream is left.
-func (n *Node) again(c *callState, last call.Outcome, failed bool, now time.Time) ([]Command, bool) {
+func (n *Node) again(c *callState, last Attempt, failed bool, now time.Time) ([]Command, bool) {
 	t := n.try(c)
-	t.Last, t.Failed = last, failed
-	target, _, ok := n.choose(c, now)
+	t.Last, t.Failed = last.Outcome, failed
+	target, ok := n.chooseAgain(c, last, now)
 	if !ok || !n.policy(c.service, now).Again(t, now).Allowed {
 		return nil, false
 	}
 	return n.forward(c, target, now), true
 }
 
+// chooseAgain names the upstream for a further attempt. A request under which
+// an upstream has crashed is sent to its trial upstream only, and not again
+// after a second crash.
+func (n *Node) chooseAgain(c *callState, last Attempt, now time.Time) (string, bool) {
+	if last.Reason == call.UpstreamCrashed {
+		if c.crashed || !n.config.Allowed(config.Quarantine) {
+			return "", false
+		}
+		c.crashed = true
+		return n.trialUpstream(c.service, c.selector, c.request.Fingerprint)
+	}
+	if c.crashed {
+		return "", false
+	}
+	target, _, ok := n.choose(c, now)
+	return target, ok
+}
+
 // learn tells the picker and the link times what an attempt has shown.
 func (n *Node) learn(c *callState, a attempt, r Attempt, now time.Time) {
 	picker := n.picker(c.service)
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"pomelodoor.example/pomelodoor/measure"
 	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/once"
+	"pomelodoor.example/pomelodoor/quarantine"
 	"pomelodoor.example/pomelodoor/retry"
 	"pomelodoor.example/pomelodoor/spread"
 )
@@ -59,6 +60,10 @@
 	own   balance.Estimate
 	meter *measure.Meter
 
+	// suspects holds what crashes of upstreams have shown.
+	suspects   *quarantine.Quarantine
+	lastRetold time.Time
+
 	book *once.Book
 	// homes, bookView and lastBeat serve the book of keys.
 	homes    map[string]*homeSet
@@ -94,6 +99,7 @@
 		gate:     admit.New(admit.Config{}),
 		meter:    measure.New(measure.Config{Rand: cfg.Rand}),
 		homes:    map[string]*homeSet{},
+		suspects: quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
 		book: once.New(once.Config{
 			Self:    once.Incarnation{ID: cfg.Self.ID, Number: cfg.Incarnation},
 			Started: cfg.Started,
@@ -180,6 +186,7 @@
 	out = append(out, n.limits(now)...)
 	out = append(out, n.keepBook(now)...)
 	out = append(out, n.tellSiblings(now)...)
+	out = append(out, n.keepSuspects(now)...)
 	return append(out, n.probe(now)...)
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -30,10 +30,12 @@
 	Digest   string `json:"digest"`
 }
 
-// Ready reports whether the daemon can serve calls to its own service.
+// Ready reports whether the daemon holds the switches and the document of its
+// own service, knows that they are the fleet's, and is not stopping.
 func (n *Node) Ready() bool {
-	_, ok := n.config.Service(n.cfg.Self.Service)
-	return ok && n.config.Confirmed() && !n.stopping
+	_, service := n.config.Service(n.cfg.Self.Service)
+	_, switches := n.config.Document(config.KeySwitches)
+	return service && switches && n.config.Confirmed() && !n.stopping
 }
 
 // Status describes the daemon to operators.
