--- a/standin/caller_test.go
+++ b/standin/caller_test.go
@@ -139,6 +139,7 @@
 		"ran twice by key":       {nil, []Execution{order("0", "k"), {Token: "u", Key: "k", Method: "POST"}}, []Promise{RunOnce}},
 		"ran twice by token":     {nil, []Execution{order("0", ""), order("0", "")}, []Promise{RunOnce}},
 		"ran twice by call":      {nil, []Execution{{Call: "c", Method: "POST"}, {Call: "c", Method: "POST"}}, []Promise{RunOnce}},
+		"sent twice by caller":   {nil, []Execution{order("0", ""), order("1", "")}, nil},
 		"lookup ran twice":       {nil, []Execution{{Token: "t", Method: "GET"}, {Token: "t", Method: "GET"}}, nil},
 		"second body cut short":  {nil, []Execution{order("0", "k"), {Token: "t", Key: "k", Method: "POST", Short: true}}, nil},
 		"send header was lost":   {[]Exchange{told(3, "", call.NotRun)}, []Execution{order("", "")}, []Promise{NotRunHolds}},
--- a/standin/check.go
+++ b/standin/check.go
@@ -92,7 +92,8 @@
 }
 
 // checkOnce finds requests that are not idempotent and ran more than once, by
-// key, or by token or call where there is none.
+// key, or by sending or call where there is none: a caller that sends an order
+// again without a key asks for another run.
 func checkOnce(executions []Execution) []Violation {
 	first := map[string]Execution{}
 	var out []Violation
@@ -119,7 +120,7 @@
 	case e.Key != "":
 		return "key " + e.Key
 	case e.Token != "":
-		return "token " + e.Token
+		return "token " + e.Token + " send " + e.Send
 	}
 	return "call " + e.Call
 }
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -177,3 +177,19 @@
 		}
 	}
 }
+
+func TestFreeAddrsGivesEachOnce(t *testing.T) {
+	seen := map[string]bool{}
+	for range 100 {
+		addrs, err := FreeAddrs(4)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range addrs {
+			if seen[a] {
+				t.Fatalf("%s given twice", a)
+			}
+			seen[a] = true
+		}
+	}
+}
