--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -86,14 +86,7 @@
 
 // refuseRequest answers a request that cannot be accepted; nothing has run.
 func refuseRequest(ctx *fasthttp.RequestCtx, err error) {
-	reason := call.BadRequest
-	switch {
-	case errors.Is(err, ingress.ErrShortBody):
-		reason = call.ShortBody
-	case errors.Is(err, ingress.ErrLongBody):
-		reason = call.BodyTooLarge
-	}
-	ingress.Refuse(ctx, call.NotRun, reason, err.Error())
+	ingress.Refuse(ctx, call.NotRun, ingress.Reason(err), err.Error())
 	ctx.SetConnectionClose()
 }
 
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -2,22 +2,23 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"strconv"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/exchange"
 )
 
 var (
 	// ErrShortBody means that the caller ended the body before its length.
-	ErrShortBody = errors.New("ingress: request body cut short")
+	ErrShortBody = merry.Sentinel("ingress: request body cut short", merry.WithValue(reasonKey, call.ShortBody))
 	// ErrLongBody means that the body is longer than its service allows.
-	ErrLongBody = errors.New("ingress: request body too long")
+	ErrLongBody = merry.Sentinel("ingress: request body too long", merry.WithValue(reasonKey, call.BodyTooLarge))
 )
 
 // Body is the body of a request: held whole when it is short, else a stream
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -1,13 +1,13 @@
 package ingress
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
 
 	"pomelodoor.example/pomelodoor/call"
@@ -21,7 +21,7 @@
 )
 
 // ErrRequest means that a header of the request cannot be accepted.
-var ErrRequest = errors.New("ingress: bad request")
+var ErrRequest = merry.Sentinel("ingress: bad request", merry.WithValue(reasonKey, call.BadRequest))
 
 // Forwarded is a request that another daemon has sent on.
 type Forwarded struct {
