--- a/membership/overlay.go
+++ b/membership/overlay.go
@@ -20,6 +20,7 @@
 type overlay struct {
 	generation uint64
 	neighbours []Record
+	ids        []string
 	live       []*member
 	zones      int
 	// rank is this daemon's place among the live ones of its zone.
@@ -54,6 +55,9 @@
 // there are fewer of one kind, others take their places. The slice is shared.
 func (v *View) Neighbours() []Record { return v.refresh().neighbours }
 
+// NeighbourIDs returns the IDs of Neighbours. The slice is shared.
+func (v *View) NeighbourIDs() []string { return v.refresh().ids }
+
 // LiveCount returns the number of live instances, this one included.
 func (v *View) LiveCount() int { return len(v.refresh().live) }
 
@@ -129,6 +133,9 @@
 	}
 	o.zones = countZones(o.live)
 	o.neighbours = chooseNeighbours(inZone, inRegion, elsewhere).records()
+	for _, r := range o.neighbours {
+		o.ids = append(o.ids, r.ID)
+	}
 	return o
 }
 
