Long bodies wait for the decision of the other daemon

Cause: a long upload cannot be sent twice, so a daemon that refused one left the caller with notRun, or with unknown when the refusal broke the connection while the body was being written. Daemons now ask with Expect: 100-continue (RFC 9110, section 10.1.1): admission comes first, the body only when a slot is held, and a refused upload goes elsewhere with its body untouched. Ruled out: holding long bodies, which bounded memory forbids; a separate message to reserve, which needs a second lookup for the same thing. Also found: a keyed request's long answer would have been cut off, as the context that outlives the caller ended with the handler.

--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -68,30 +68,38 @@
 		return &answer{result: node.Attempt{
 			Outcome: outcome, Reason: reason,
 			Unreachable: reason == call.ConnectFailed,
-			BodyTaken:   !errors.Is(err, exchange.ErrNotSent),
 		}}
 	}
 	a := &answer{response: resp, result: readResult(resp, f.Target)}
+	if len(resp.Header.Peek(call.HeaderOutcome)) == 0 && req.MayContinue() && !bodyTaken(req) {
+		// The other daemon refused before it was sent the body.
+		a.result = node.Attempt{Outcome: call.NotRun, Reason: call.Overloaded}
+	}
 	if a.result.Outcome != call.Run {
 		a.drop()
 	}
 	return a
 }
 
+// bodyTaken reports whether any of a request's streamed body has been read.
+func bodyTaken(req *fasthttp.Request) bool {
+	source, ok := req.BodyStream().(*exchange.Source)
+	return !ok || source.Taken()
+}
+
 // readResult reads what the other daemon says became of the request. An answer
 // that is not from the daemon meant is worth nothing.
 func readResult(resp *fasthttp.Response, target string) node.Attempt {
 	h := &resp.Header
 	result := node.Attempt{
-		Outcome:   call.Outcome(h.Peek(call.HeaderOutcome)),
-		Reason:    call.Reason(h.Peek(call.HeaderReason)),
-		Status:    resp.StatusCode(),
-		BodyTaken: true,
-		Answered:  true,
+		Outcome:  call.Outcome(h.Peek(call.HeaderOutcome)),
+		Reason:   call.Reason(h.Peek(call.HeaderReason)),
+		Status:   resp.StatusCode(),
+		Answered: true,
 	}
 	known := result.Outcome == call.Run || result.Outcome == call.NotRun || result.Outcome == call.Unknown
 	if !known || string(h.Peek(call.HeaderFrom)) != target && result.Reason != call.WrongIncarnation {
-		return node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost, BodyTaken: true}
+		return node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost}
 	}
 	if load, err := balance.ParseLoad(h.Peek(call.HeaderLoad)); err == nil {
 		result.Load, result.HasLoad = load, true
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -145,12 +145,15 @@
 	req := fasthttp.AcquireRequest()
 	ingress.CopyHead(&c.ctx.Request.Header, req)
 	c.body.Put(req)
+	if f.To.ID != c.d.self.ID {
+		c.body.Reserve(req)
+	}
 	c.attempts.Add(1)
 	go func() {
 		defer c.attempts.Done()
 		a := c.d.send(ctx, f, req)
 		fasthttp.ReleaseRequest(req)
-		a.result.BodyTaken = c.body.Taken() && a.result.BodyTaken
+		a.result.BodyTaken = c.body.Taken()
 		c.mu.Lock()
 		out.answer = a
 		c.mu.Unlock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,7 +55,9 @@
 
 	calls *boxes
 	runs  *boxes
-	watch *ingress.Watch
+	// reserved holds granted requests whose bodies are on their way.
+	reserved *reservations
+	watch    *ingress.Watch
 
 	upstream *exchange.Pool
 	peers    *pools
@@ -109,7 +111,7 @@
 			Self: self, Incarnation: incarnation, Started: started, Rand: rand.Uint64, Choose: seams.Choose,
 			FleetSize: settings.FleetSize,
 		}),
-		calls: newBoxes(), runs: newBoxes(), watch: ingress.NewWatch(),
+		calls: newBoxes(), runs: newBoxes(), reserved: newReservations(), watch: ingress.NewWatch(),
 		upstream: exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: upstreamConns}),
 		peers:    newPools(seams.Dial),
 		platform: platform.New(platform.Config{Addresses: settings.Platform}),
@@ -126,7 +128,7 @@
 	if d.control, err = peer.Start(peer.Config{Listen: s.Control, Handle: d.receive, Lost: d.lostFraming}); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.Peer, Handle: d.servePeer}); err != nil {
+	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.Peer, Handle: d.servePeer, Expect: d.expectPeer}); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
 	if d.admin, err = ingress.Start(ingress.Config{Listen: s.Admin, Handle: d.serveAdmin}); err != nil {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -28,6 +28,7 @@
 	workers  []*standin.Worker
 	daemons  []*daemon.Daemon
 	listen   []string
+	peer     []string
 	admin    []string
 }
 
@@ -79,6 +80,7 @@
 	f.workers = append(f.workers, w)
 	f.daemons = append(f.daemons, d)
 	f.listen = append(f.listen, addresses[0])
+	f.peer = append(f.peer, addresses[1])
 	f.admin = append(f.admin, addresses[3])
 }
 
@@ -224,7 +226,13 @@
 	if up.StatusCode() != 200 {
 		t.Fatalf("upload answered %d %s", up.StatusCode(), up.Body())
 	}
+	key := string(do(t, f.listen[0], func(req *fasthttp.Request) {
+		req.Header.SetMethod("POST")
+		req.Header.SetRequestURI(call.KeyPath)
+	}).Body())
 	down := do(t, f.listen[0], func(req *fasthttp.Request) {
+		req.Header.SetMethod("POST")
+		req.Header.Set(call.HeaderKey, key)
 		req.Header.Set("X-Token", "download")
 		req.Header.Set("X-Answer-Bytes", fmt.Sprint(size))
 	})
@@ -327,6 +335,32 @@
 	}
 }
 
+// TestLongBodyWaitsForTheDecision asks the port for daemons to run a request
+// whose body is not sent yet.
+func TestLongBodyWaitsForTheDecision(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1)
+	head := "PUT /photos HTTP/1.1\r\nHost: faults\r\nPomelodoor-Caller: dispatch-1\r\nPomelodoor-Call: c1\r\n" +
+		"Pomelodoor-Deadline-Ms: 20000\r\nExpect: 100-continue\r\nContent-Length: 100000\r\nPomelodoor-Target: "
+	if resp := raw(t, f.peer[0], head+"another\r\n\r\n"); resp.StatusCode() != 503 {
+		t.Fatalf("a request for another instance got %d before its body", resp.StatusCode())
+	}
+	c, err := net.Dial("tcp", f.peer[0])
+	check(t, err)
+	_, err = io.WriteString(c, head+"faults-1\r\n\r\n")
+	check(t, err)
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil || !strings.Contains(line, "100") || f.daemons[0].Idle() {
+		t.Fatalf("received %q, %v; idle %t", line, err, f.daemons[0].Idle())
+	}
+	_ = c.Close()
+	for start := time.Now(); !f.daemons[0].Idle(); time.Sleep(20 * time.Millisecond) {
+		if time.Since(start) > 8*time.Second {
+			t.Fatal("the slot of a body that never came is not given back")
+		}
+	}
+}
+
 // FuzzCallers writes arbitrary bytes at the port for callers: other callers
 // must still be served.
 func FuzzCallers(f *testing.F) {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -38,7 +38,12 @@
 	req := fasthttp.AcquireRequest()
 	ingress.CopyHead(&ctx.Request.Header, req)
 	body.Put(req)
-	a := d.serve(waiting, f, req)
+	var a *answer
+	if r := d.reserved.claim(f.Request.ID); r != nil {
+		a = d.withLoad(r.proceed(waiting, req))
+	} else {
+		a = d.serve(waiting, f, req)
+	}
 	fasthttp.ReleaseRequest(req)
 	if a.response == nil {
 		done()
@@ -69,13 +74,7 @@
 	if f.Request.Issue {
 		return d.issueKey(f)
 	}
-	if f.Request.Keyed() {
-		// The run goes on when the caller leaves, so that a resend can be told
-		// how it ended.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), f.Request.Deadline)
-		defer cancel()
-	}
+	ctx = lasting(ctx, f.Request)
 	id := f.Request.ID
 	box, fresh := d.runs.add(id)
 	if !fresh {
@@ -84,11 +83,25 @@
 	d.update(node.PeerRequest{
 		Request: f.Request, From: f.From, Target: f.Target, Incarnation: f.Incarnation,
 	})
-	a := d.await(ctx, box, f.Request, req)
+	return d.withLoad(d.await(ctx, box, f.Request, req))
+}
+
+// lasting returns the context of a request's run. The run of a key goes on when
+// the caller leaves, so that a resend can be told how it ended; its deadline is
+// set where it runs.
+func lasting(ctx context.Context, request call.Request) context.Context {
+	if !request.Keyed() {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
+// withLoad adds the load of the own upstream to an answer.
+func (d *Daemon) withLoad(a *answer) *answer {
 	d.mu.Lock()
 	a.result.Load, a.result.HasLoad = d.node.Load(time.Now()), true
-	a.result.Answered = true
 	d.mu.Unlock()
+	a.result.Answered = true
 	return a
 }
 
@@ -108,29 +121,44 @@
 
 // await waits for the node's decision and carries it out.
 func (d *Daemon) await(ctx context.Context, box chan node.Command, request call.Request, req *fasthttp.Request) *answer {
+	return d.carryOut(ctx, d.decision(ctx, box, request.ID), request, req)
+}
+
+// decision waits for the node's decision on a request: to run it, to hand it on
+// or to refuse it.
+func (d *Daemon) decision(ctx context.Context, box chan node.Command, id string) node.Command {
 	left := ctx.Done()
 	for {
 		select {
 		case command := <-box:
-			switch command := command.(type) {
-			case node.Run:
-				return d.run(ctx, command, request, req)
-			case node.HandOn:
-				return d.handOn(ctx, command, req)
-			case node.Refuse:
-				d.runs.remove(request.ID)
-				return refused(command)
+			if _, cancel := command.(node.CancelRun); !cancel {
+				return command
 			}
 		case <-left:
 			left = nil
-			d.update(node.PeerLeft{ID: request.ID})
+			d.update(node.PeerLeft{ID: id})
 		}
 	}
 }
 
+// carryOut does what the node has decided.
+func (d *Daemon) carryOut(ctx context.Context, decision node.Command, request call.Request, req *fasthttp.Request) *answer {
+	switch c := decision.(type) {
+	case node.Run:
+		return d.run(ctx, c, request, req)
+	case node.HandOn:
+		return d.handOn(ctx, c, req)
+	case node.Refuse:
+		d.runs.remove(request.ID)
+		return refused(c)
+	}
+	return &answer{result: node.Attempt{Outcome: call.Unknown, Reason: call.InProgress}}
+}
+
 // handOn lets a sibling serve the request, and passes its answer back.
 func (d *Daemon) handOn(ctx context.Context, h node.HandOn, req *fasthttp.Request) *answer {
 	start := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, h.Request.Deadline)
 	a := d.sendPeer(ctx, h.To.Peer, ingress.Forwarded{
 		Request: h.Request, From: d.self.ID, Target: h.To.ID, Incarnation: h.Incarnation,
 	}, req)
@@ -142,6 +170,10 @@
 	d.metrics.handedOn.Add(1)
 	d.runs.remove(h.ID)
 	d.update(end)
+	if a.response == nil {
+		cancel()
+	}
+	a.done = cancel
 	return a
 }
 
@@ -182,11 +214,11 @@
 		cancel()
 		fasthttp.ReleaseResponse(resp)
 		d.ended(node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
-		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason, BodyTaken: !errors.Is(err, exchange.ErrNotSent)}}
+		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
 	}
 	end := node.RunEnded{ID: request.ID, Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode()}
 	a := &answer{response: resp, result: node.Attempt{
-		Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode(), BodyTaken: true,
+		Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode(),
 	}}
 	if resp.IsBodyStream() {
 		a.done = func() {
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,10 +33,7 @@
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	stop := watch(ctx, c)
-	err = p.send(c, req)
-	if err == nil {
-		err = p.receive(c, req, resp, stop)
-	}
+	err = p.converse(c, req, resp, stop)
 	if err != nil {
 		stop()
 		p.discard(c)
@@ -44,6 +42,61 @@
 	return nil
 }
 
+// converse sends the request and reads the answer. A request that expects 100
+// (RFC 9110, section 10.1.1) sends its body only when the server asks for it; a
+// server that answers at once has not seen the body.
+func (p *Pool) converse(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool) error {
+	if req.MayContinue() && req.IsBodyStream() && req.Header.ContentLength() > 0 {
+		asked, err := p.sendHead(c, req, resp)
+		if err != nil {
+			return err
+		}
+		if !asked {
+			return p.receiveBody(c, req, resp, stop, false)
+		}
+		if err := p.sendBody(c, req); err != nil {
+			return err
+		}
+		return p.receive(c, req, resp, stop)
+	}
+	if err := p.send(c, req); err != nil {
+		return err
+	}
+	return p.receive(c, req, resp, stop)
+}
+
+// sendHead sends all but the body, and reports whether the server asks for the
+// body. If it does not, resp holds the head of its final answer.
+func (p *Pool) sendHead(c *conn, req *fasthttp.Request, resp *fasthttp.Response) (asked bool, err error) {
+	err = req.Header.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	if err != nil {
+		return false, fmt.Errorf("%w while writing the head: %w", ErrLost, err)
+	}
+	if err := resp.Header.Read(c.reader); err != nil {
+		return false, fmt.Errorf("%w while waiting to send the body: %w", ErrLost, err)
+	}
+	return resp.StatusCode() == fasthttp.StatusContinue, nil
+}
+
+// sendBody sends the body that the server has asked for.
+func (p *Pool) sendBody(c *conn, req *fasthttp.Request) error {
+	body := req.BodyStream()
+	_, err := io.CopyN(c.writer, body, int64(req.Header.ContentLength()))
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	if source, ok := body.(*Source); ok && source.err != nil {
+		return fmt.Errorf("%w: %w: %w", ErrBodySource, ErrLost, source.err)
+	}
+	if err != nil {
+		return fmt.Errorf("%w while writing the body: %w", ErrLost, err)
+	}
+	return nil
+}
+
 // watch ends every read and write on the connection when ctx ends. The function
 // it returns stops that, and reports whether ctx had not ended.
 func watch(ctx context.Context, c *conn) func() bool {
@@ -81,7 +134,12 @@
 	if err := readHead(c, resp); err != nil {
 		return fmt.Errorf("%w while reading the head: %w", ErrLost, err)
 	}
-	keep := !resp.ConnectionClose() && !req.ConnectionClose()
+	return p.receiveBody(c, req, resp, stop, true)
+}
+
+// receiveBody reads what follows the head of the answer.
+func (p *Pool) receiveBody(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool, keep bool) error {
+	keep = keep && !resp.ConnectionClose() && !req.ConnectionClose()
 	if hasNoBody(req, resp) {
 		resp.SkipBody = true
 		p.finish(c, stop, keep)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -14,6 +14,7 @@
 type Source struct {
 	reader io.Reader
 	left   int
+	taken  bool
 	err    error
 }
 
@@ -26,6 +27,7 @@
 // Read reads from the body and keeps its first error. An end before the stated
 // length is io.ErrUnexpectedEOF.
 func (s *Source) Read(p []byte) (int, error) {
+	s.taken = true
 	n, err := s.reader.Read(p)
 	if s.left >= 0 {
 		s.left -= min(n, s.left)
@@ -39,6 +41,9 @@
 	return n, err
 }
 
+// Taken reports whether any of the body may have been read.
+func (s *Source) Taken() bool { return s.taken }
+
 // answerStream is the rest of an answer, still on its connection.
 type answerStream struct {
 	inner *fasthttp.Response
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -27,7 +27,8 @@
 	held   []byte
 	stream io.Reader
 	length int
-	taken  bool
+	// source is the stream as it was last put on a request.
+	source *exchange.Source
 }
 
 // ReadBody holds up to exchange.HeldBytes of the request's body. A held body
@@ -59,17 +60,26 @@
 // Replayable reports whether the body can be sent again.
 func (b *Body) Replayable() bool { return b.stream == nil }
 
-// Taken reports whether a stream has been given out and may have been read.
-func (b *Body) Taken() bool { return b.taken }
+// Taken reports whether any of a stream may have been read.
+func (b *Body) Taken() bool { return b.source != nil && b.source.Taken() }
 
-// Put sets the body on a request to elsewhere. A stream can be put once.
+// Put sets the body on a request to elsewhere. A stream can be put again while
+// none of it has been taken.
 func (b *Body) Put(req *fasthttp.Request) {
 	if b.stream == nil {
 		req.SetBodyRaw(b.held)
 		return
 	}
-	b.taken = true
-	req.SetBodyStream(exchange.NewSource(b.stream, b.length), b.length)
+	b.source = exchange.NewSource(b.stream, b.length)
+	req.SetBodyStream(b.source, b.length)
+}
+
+// Reserve lets the receiver decide before it is sent a long body: a request that
+// is refused can then be sent elsewhere. The length has to be known.
+func (b *Body) Reserve(req *fasthttp.Request) {
+	if b.stream != nil && b.length > 0 {
+		req.Header.Set("Expect", "100-continue")
+	}
 }
 
 // Fingerprint tells the request apart from others: by its method, path and
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -30,6 +30,10 @@
 	Listen string
 	// Handle is called with each request that parses.
 	Handle fasthttp.RequestHandler
+	// Expect decides on a request that waits before it sends its body: it
+	// returns 100 to have the body sent, or the status to refuse with. Nil has
+	// every body sent.
+	Expect func(*fasthttp.RequestCtx) int
 }
 
 // Server is one listening HTTP edge.
@@ -48,6 +52,7 @@
 	s := &Server{listener: listener, ended: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Handler:                      cfg.Handle,
+		ExpectHandler:                cfg.Expect,
 		ErrorHandler:                 refuseMalformed,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
