balance: a table for more sizes, and for many daemons

Cause: with 12 daemons each sees a twelfth of the calls; at the two-year size a daemon sees next to none of an upstream's calls, and its own count tells it nothing. The size "many" has 300 daemons, 6 upstreams, 5 zones.

The row "true counters" is the oracle without the present speed of each worker, which no report can tell in the shifting case.

--- a/balance/sim_test.go
+++ b/balance/sim_test.go
@@ -14,20 +14,22 @@
 // time.
 
 const (
-	simZones    = 3
-	simOneWay   = 3 * time.Millisecond
-	simDaemons  = 12
-	simSlots    = 12
 	simQueue    = 100
 	simService  = 10 * time.Millisecond
-	simReports  = 50 * time.Millisecond // between a worker's reports to all
 	simWarm     = 2 * time.Second
 	simFault    = 5 * time.Second
 	simLength   = 12 * time.Second
 	simDeadline = time.Second // what a failed or refused call counts as
 )
 
-var simWorkers = []int{0, 0, 1, 1, 2} // zone of each
+// size is a service and those who call it.
+type size struct {
+	workers []int // availability zone of each
+	zones   int
+	daemons int
+	slots   int
+	oneWay  time.Duration
+}
 
 type worker struct {
 	zone, busy int
@@ -78,6 +80,7 @@
 
 // scenario is one cell of the table.
 type scenario struct {
+	size  size
 	fault func(s *sim)
 	load  float64
 	lag   time.Duration
@@ -107,15 +110,15 @@
 func simulate(sc scenario, choose policy, config Config) figures {
 	s := &sim{scenario: sc, policy: choose, rand: rand.New(rand.NewPCG(sc.seed, 7)),
 		latency: hdrhistogram.New(1, 60_000_000, 3)}
-	for i, zone := range simWorkers {
+	for i, zone := range sc.size.workers {
 		s.workers = append(s.workers, &worker{zone: zone, factor: 1, state: Serving})
 		s.candidates = append(s.candidates, Candidate{ID: string(rune('A' + i)), Zone: zoneName(zone), Incarnation: 1})
-		s.after(time.Duration(s.rand.Int64N(int64(simReports))), func() { s.report(i) })
+		s.after(time.Duration(s.rand.Int64N(int64(*tableReports))), func() { s.report(i) })
 	}
-	for i := range simDaemons {
-		d := &daemon{zone: i % simZones, own: make([]int, len(s.workers)), heard: make([]Load, len(s.workers))}
+	for i := range sc.size.daemons {
+		d := &daemon{zone: i % sc.size.zones, own: make([]int, len(s.workers)), heard: make([]Load, len(s.workers))}
 		config.SelfZone, config.Rand = zoneName(d.zone), s.rand.Uint64
-		config.LinkCost = func(string) time.Duration { return 2 * simOneWay }
+		config.LinkCost = func(string) time.Duration { return 2 * sc.size.oneWay }
 		d.picker = New(config)
 		s.daemons = append(s.daemons, d)
 		s.arrive(d, i)
@@ -145,14 +148,14 @@
 
 func (s *sim) oneWay(j *job) time.Duration {
 	if s.daemons[j.daemon].zone != s.workers[j.worker].zone {
-		return simOneWay
+		return s.size.oneWay
 	}
 	return 100 * time.Microsecond
 }
 
 // arrive sends the calls of a daemon, a Poisson stream.
 func (s *sim) arrive(d *daemon, index int) {
-	rate := s.load * float64(len(s.workers)*simSlots) / simService.Seconds() / simDaemons
+	rate := s.load * float64(len(s.workers)*s.size.slots) / simService.Seconds() / float64(s.size.daemons)
 	s.after(time.Duration(s.rand.ExpFloat64()/rate*1e9), func() {
 		s.arrive(d, index)
 		j := &job{daemon: index, worker: s.policy(s, d), sent: s.now, work: s.work()}
@@ -179,7 +182,7 @@
 	case w.state == Draining || len(w.queue) >= simQueue:
 		j.result.NotRun = true
 		s.answer(j)
-	case w.busy < simSlots:
+	case w.busy < s.size.slots:
 		s.run(j)
 	default:
 		w.queue = append(w.queue, j)
@@ -235,7 +238,7 @@
 }
 
 func (s *sim) loadOf(w *worker) Load {
-	return Load{State: w.state, InFlight: w.busy, Queued: len(w.queue), Slots: simSlots,
+	return Load{State: w.state, InFlight: w.busy, Queued: len(w.queue), Slots: s.size.slots,
 		ServiceTime: w.estimate.Latency(time.Time{}, s.clock()),
 		FailPercent: int(100 * w.estimate.FailShare(s.clock())), Age: s.lag}
 }
@@ -244,9 +247,9 @@
 func (s *sim) report(i int) {
 	load := s.loadOf(s.workers[i])
 	for _, d := range s.daemons {
-		s.after(simOneWay+s.lag, func() { s.hear(d, i, load) })
+		s.after(s.size.oneWay+s.lag, func() { s.hear(d, i, load) })
 	}
-	s.after(simReports, func() { s.report(i) })
+	s.after(*tableReports, func() { s.report(i) })
 }
 
 func (s *sim) hear(d *daemon, i int, load Load) {
--- a/balance/table_test.go
+++ b/balance/table_test.go
@@ -12,12 +12,20 @@
 )
 
 var (
-	tableWhole = flag.Bool("table", false, "measure the whole table")
-	tableSeeds = flag.Int("seeds", 3, "rounds of the table")
-	tableNames = flag.String("policies", "", "only the policies that this text holds")
-	tableCases = flag.String("cases", "", "only the cases that hold this text")
+	tableWhole   = flag.Bool("table", false, "measure the whole table")
+	tableSeeds   = flag.Int("seeds", 3, "rounds of the table")
+	tableNames   = flag.String("policies", "", "only the policies that this text holds")
+	tableSize    = flag.String("size", "Zeigerwerk", "size of the service: Zeigerwerk, Brightfield or many")
+	tableReports = flag.Duration("reports", 50*time.Millisecond, "time between a worker's reports to all")
+	tableCases   = flag.String("cases", "", "only the cases that hold this text")
 )
 
+var sizes = map[string]size{
+	"Zeigerwerk":  {workers: []int{0, 0, 1, 1, 2}, zones: 3, daemons: 12, slots: 12, oneWay: 3 * time.Millisecond},
+	"Brightfield": {workers: []int{0, 1, 2, 3}, zones: 4, daemons: 12, slots: 9, oneWay: 5 * time.Millisecond},
+	"many":        {workers: []int{0, 1, 2, 3, 4, 0}, zones: 5, daemons: 300, slots: 12, oneWay: time.Millisecond},
+}
+
 var faults = map[string]func(s *sim){
 	"1 steady": nil,
 	"2 shifting": func(s *sim) { // each worker's speed changes every 5 ms or so
@@ -57,7 +65,8 @@
 }
 
 var policies = map[string]policy{
-	"1 oracle": oracle,
+	"0 oracle":        oracle,
+	"1 true counters": func(s *sim, d *daemon) int { return trueCounters(s, d, 3) },
 	"2 picker": func(s *sim, d *daemon) int {
 		i, _ := d.picker.Pick(s.candidates, nil, allOn, s.clock())
 		return max(i, 0)
@@ -82,17 +91,25 @@
 	},
 }
 
-// oracle reads the true counters of all workers.
-func oracle(s *sim, d *daemon) int {
+// oracle reads the true counters of all workers, and how fast each is now.
+func oracle(s *sim, d *daemon) int { return trueCounters(s, d, 1) }
+
+// trueCounters reads the true counters, but of the speeds only those that are
+// slower than usual by the factor slow.
+func trueCounters(s *sim, d *daemon, slow float64) int {
+	slots := float64(s.size.slots)
 	return least(s, func(i int) float64 {
 		w := s.workers[i]
 		if w.failing || w.state == Draining {
 			return math.Inf(1)
 		}
-		calls, service := w.busy+len(w.queue)+w.coming, float64(simService)*w.factor
-		cost := service * (1 + float64(max(0, calls+1-simSlots))/simSlots + 0.01*float64(calls)/simSlots)
+		calls, service := float64(w.busy+len(w.queue)+w.coming), float64(simService)
+		if w.factor > slow || slow == 1 {
+			service *= w.factor
+		}
+		cost := service * (1 + max(0, calls+1-slots)/slots + 0.01*calls/slots)
 		if w.zone != d.zone {
-			cost += float64(2 * simOneWay)
+			cost += float64(2 * s.size.oneWay)
 		}
 		return cost
 	})
@@ -133,7 +150,7 @@
 	loads, lags := []float64{0.5, 0.8, 0.95}, []time.Duration{0, 50 * time.Millisecond, 500 * time.Millisecond}
 	if !*tableWhole {
 		for _, fault := range []string{"3 one 10x slower", "4 one fails in 0.2 ms"} {
-			quick(t, scenario{fault: faults[fault], load: 0.5, lag: lags[1]})
+			quick(t, scenario{size: sizes["Zeigerwerk"], fault: faults[fault], load: 0.5, lag: lags[1]})
 		}
 		return
 	}
@@ -151,7 +168,7 @@
 					if *tableNames != "" && !strings.Contains(*tableNames, name[2:]) {
 						continue
 					}
-					f := median(scenario{fault: faults[fault], load: load, lag: lag}, policies[name], *tableSeeds)
+					f := median(scenario{size: sizes[*tableSize], fault: faults[fault], load: load, lag: lag}, policies[name], *tableSeeds)
 					if best.p99 == 0 {
 						best = f
 					}
