--- a/scenario/expect_test.go
+++ b/scenario/expect_test.go
@@ -33,6 +33,7 @@
 //	expect ran ID N              requests at a worker, at least
 //	expect share ID N            percent of all requests since fail, at most
 //	expect crashes N             of workers, at most
+//	expect memory ID N           MB that the daemon ever held, at most (Linux)
 var expectations = map[string]func(*world, []string) error{
 	"promises":  expectPromises,
 	"runs":      expectRuns,
@@ -45,6 +46,7 @@
 	"ran":       expectRan,
 	"share":     expectShare,
 	"crashes":   expectCrashes,
+	"memory":    expectMemory,
 }
 
 func cmdExpect(w *world, _ *testscript.TestScript, args []string) error {
--- a/scenario/status_test.go
+++ b/scenario/status_test.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -105,3 +107,29 @@
 	}
 	return nil
 }
+
+// expectMemory looks at the largest resident set of a daemon's process, which
+// the system keeps count of.
+func expectMemory(w *world, args []string) error {
+	want, err := numberArg(args, 1)
+	if err != nil {
+		return err
+	}
+	m, err := w.member(args[0])
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.daemon.Pid()))
+	if err != nil {
+		return fmt.Errorf("memory of %s: %w", args[0], err)
+	}
+	_, after, _ := strings.Cut(string(text), "VmHWM:")
+	var kB int
+	if _, err := fmt.Sscan(after, &kB); err != nil {
+		return fmt.Errorf("memory of %s: %w", args[0], err)
+	}
+	if kB > want<<10 {
+		return fmt.Errorf("%s held %d MB, want at most %d: %w", args[0], kB>>10, want, errUnmet)
+	}
+	return nil
+}
