spread: a fresh daemon that reaches few others keeps its actions off

Cause: after 20 s a fresh daemon took what it had, whomever it had reached. A minority that restarted behind a partition, beside a stale platform, would have acted by switches that were turned off. It now needs two confirmed daemons, all others, or after 20 s most of them (16 in a large fleet). Cost: a lone survivor keeps its automatic actions off until the list drops the dead. Ruled out: waiting for ever for confirmed ones, as a new fleet has none. The checker looks at all roots before it looks at confirmations, so that the planted fault 'no comparison' is still named.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -218,10 +218,12 @@
 // confirm lets automatic actions begin once this daemon knows what the fleet
 // knows, and stops them while it does not.
 func (n *Node) confirm(now time.Time) {
+	if n.spread.Answered() {
+		n.view.Fresh()
+	}
 	switch confirmed := n.spread.Confirmed(now); {
 	case confirmed && !n.config.Confirmed():
 		n.config.Confirm()
-		n.view.Fresh()
 	case !confirmed && n.config.Confirmed():
 		n.config.Doubt()
 	}
--- a/spread/confirm.go
+++ b/spread/confirm.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// enoughPeers is how many confirmed daemons a fresh one compares with.
-const enoughPeers = 2
+const (
+	// enoughPeers is how many confirmed daemons a fresh one compares with.
+	enoughPeers = 2
+	// manyPeers is how many unconfirmed ones are enough in a large fleet that is
+	// new as a whole, once there was time to meet a confirmed one.
+	manyPeers = 16
+)
 
 // confirm tracks whether this daemon holds what the fleet holds. A fresh or
 // woken daemon may have an old revision from a stale platform; until it is
@@ -53,9 +58,9 @@
 
 // Confirmed reports whether this daemon has compared with the fleet since it
 // started or woke: with two confirmed daemons, or with all there are, confirmed
-// or not, since then nobody holds anything newer. When none is confirmed or can
-// be reached, it holds after Config.ConfirmWait, provided that the platform's
-// list or any daemon has been heard.
+// or not, since then nobody holds anything newer. After Config.ConfirmWait most
+// of them will do, or manyPeers. A daemon that is cut off from most others stays
+// unconfirmed: they may hold what turns its actions off.
 func (s *State) Confirmed(now time.Time) bool {
 	c := &s.confirm
 	if c.done {
@@ -63,13 +68,14 @@
 	}
 	others := s.config.Live() - 1
 	listed := s.reading.listed
+	waited := now.Sub(c.since) >= s.config.ConfirmWait
 	switch {
 	case c.confirmed() >= enoughPeers:
 		c.done = true
 	case listed && len(c.peers) >= others:
 		c.done = true
-	case listed || c.heard:
-		c.done = now.Sub(c.since) >= s.config.ConfirmWait
+	case waited && others > 0:
+		c.done = len(c.peers) >= min(others/2+1, manyPeers)
 	}
 	if c.done {
 		c.peers = nil
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -351,14 +351,16 @@
 		if m.Root() != f.machines[0].Root() {
 			return fmt.Errorf("%w: machine %d", errNotSame, i)
 		}
-		if !m.Confirmed(f.now) {
-			return fmt.Errorf("%w: machine %d", errUnconfirmed, i)
-		}
 		for key, version := range newest {
 			if item, _ := m.Get(key); item.Version.Compare(version) < 0 {
 				return fmt.Errorf("%w: machine %d lost %s at %v", errNotSame, i, key, version)
 			}
 		}
 	}
+	for i, m := range f.machines {
+		if !m.Confirmed(f.now) {
+			return fmt.Errorf("%w: machine %d", errUnconfirmed, i)
+		}
+	}
 	return nil
 }
