balance: a fresh daemon takes no upstream for new

Cause: an upstream counted as new when it was first heard of after another. In a fresh daemon that is all but one of them, so a share of 10 % was drawn for them for 10 s.

Change: only what appears when the Picker is older than the ramp, a new incarnation, and one back from ejection have a share that grows.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -108,12 +108,22 @@
 }
 
 // known returns what is known about a candidate, and starts afresh when it is
-// a new incarnation.
+// a new incarnation. To a Picker that is itself new every upstream is, so none
+// counts as new there.
 func (p *Picker) known(c *Candidate, now time.Time) *upstream {
-	u := p.upstream(c.ID, now)
+	u := p.upstream(c.ID)
+	if p.first.IsZero() {
+		p.first = now
+	}
+	if !u.seen {
+		u.seen = true
+		if now.Sub(p.first) >= p.config.Ramp {
+			u.rampFrom = now
+		}
+	}
 	if u.incarnation < c.Incarnation {
 		if u.incarnation != 0 {
-			*u = upstream{since: now}
+			*u = upstream{seen: true, rampFrom: now}
 			p.untrack(c.ID)
 		}
 		u.incarnation = c.Incarnation
@@ -146,8 +156,8 @@
 // held draws whether a new or cold upstream sits this call out.
 func (p *Picker) held(u *upstream, now time.Time) bool {
 	share := 1.0
-	if u.since.After(p.first) {
-		share = max(rampFloor, float64(now.Sub(u.since))/float64(p.config.Ramp))
+	if !u.rampFrom.IsZero() {
+		share = max(rampFloor, float64(now.Sub(u.rampFrom))/float64(p.config.Ramp))
 	}
 	if u.load.State == Cold {
 		share = rampFloor
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -69,8 +69,8 @@
 	config    Config
 	upstreams map[string]*upstream
 	ejected   []string
-	typical   float64 // typical time in a slot, nanoseconds
-	first     time.Time
+	typical   float64   // typical time in a slot, nanoseconds
+	first     time.Time // of the first Pick
 	next      int
 }
 
@@ -90,7 +90,7 @@
 
 // Started counts a call that leaves for the upstream.
 func (p *Picker) Started(id string, now time.Time) {
-	p.upstream(id, now).start(now)
+	p.upstream(id).start(now)
 }
 
 // Finished counts the end of a call that was Started.
@@ -107,7 +107,7 @@
 		return
 	}
 	if u.ejection.result(r.Failed, now) {
-		u.own.fails, u.since = 0, now
+		u.own.fails, u.rampFrom = 0, now
 	}
 	p.track(id, u)
 }
@@ -115,7 +115,7 @@
 // Heard takes a load report about the upstream. Reports may come late, twice
 // and out of order.
 func (p *Picker) Heard(id string, load Load, now time.Time) {
-	u := p.upstream(id, now)
+	u := p.upstream(id)
 	u.hear(load, now.Add(-load.Age))
 	p.learn(load.ServiceTime)
 }
@@ -133,7 +133,7 @@
 
 // MarkDown counts a failure to connect: the call has not run.
 func (p *Picker) MarkDown(id string, now time.Time) {
-	u := p.upstream(id, now)
+	u := p.upstream(id)
 	u.own.Observe(0, true, now)
 	u.ejection.eject(now)
 	p.track(id, u)
@@ -146,13 +146,10 @@
 }
 
 // upstream returns what is known about id, making room for it if need be.
-func (p *Picker) upstream(id string, now time.Time) *upstream {
+func (p *Picker) upstream(id string) *upstream {
 	u, ok := p.upstreams[id]
 	if !ok {
-		if p.first.IsZero() {
-			p.first = now
-		}
-		u = &upstream{since: now}
+		u = &upstream{}
 		p.upstreams[id] = u
 	}
 	return u
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -30,7 +30,8 @@
 // upstream is what a Picker knows about one upstream.
 type upstream struct {
 	incarnation uint64
-	since       time.Time // when this incarnation was first seen
+	seen        bool      // as a candidate
+	rampFrom    time.Time // when its share began to grow; zero when it does not
 	own         Estimate  // of the calls sent from here
 	started     []time.Time
 	load        Load
