balance: no upstream is preferred for a short service time

Cause: all daemons hear the same estimate of each upstream's service time and chose the one whose estimate chance had made shortest.

Change: what is below twice the typical time counts as typical.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -13,8 +13,9 @@
 	// against what is typical of the service.
 	latencyLife = 10 * time.Second
 	// deadZone is the factor up to which a service time counts as the typical
-	// one, because less is hard to tell from chance.
-	deadZone = 1.5
+	// one, because less is hard to tell from chance. A shorter one counts as
+	// typical too: all daemons would choose the one that had luck.
+	deadZone = 2
 	// failureCost is the time that a failed call is taken to cost.
 	failureCost = time.Second
 	// refusalCost is the time that a fresh refusal is taken to cost.
@@ -53,8 +54,7 @@
 	if known == 0 {
 		return p.typical
 	}
-	ratio := known / p.typical
-	if ratio > 1/deadZone && ratio < deadZone {
+	if known < deadZone*p.typical {
 		return p.typical
 	}
 	return p.typical + (known-p.typical)*fade(now.Sub(at), latencyLife)
