--- a/scenario/status_test.go
+++ b/scenario/status_test.go
@@ -42,8 +42,11 @@
 			continue
 		}
 		code, body, err := fasthttp.GetTimeout(nil, "http://"+m.daemon.Config().Admin+"/status", time.Second)
-		if err != nil || code != fasthttp.StatusOK {
-			return nil, fmt.Errorf("status of %s: %d %v: %w", id, code, err, errUnmet)
+		if err != nil {
+			return nil, fmt.Errorf("status of %s: %w: %w", id, errUnmet, err)
+		}
+		if code != fasthttp.StatusOK {
+			return nil, fmt.Errorf("status of %s: %d: %w", id, code, errUnmet)
 		}
 		var s status
 		if err := json.Unmarshal(body, &s); err != nil {
