balance: own calls stand for those of the other daemons

Cause: between two reports all daemons send their calls to the upstream that the last report shows idle, and each counts only its own.

Change: a report loses 63 % of its weight in 20 ms (was 100), and one own call above the own usual number stands for 8.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -8,7 +8,10 @@
 const (
 	// loadLife is the time in which a load report loses 63 % of its weight
 	// against the usual load.
-	loadLife = 100 * time.Millisecond
+	loadLife = 20 * time.Millisecond
+	// ownWeight is the number of calls that one own call above the usual
+	// number stands for.
+	ownWeight = 8
 	// latencyLife is the time in which a latency loses 63 % of its weight
 	// against what is typical of the service.
 	latencyLife = 10 * time.Second
@@ -61,15 +64,17 @@
 }
 
 // calls returns the expected number of calls in flight and queued: the last
-// report, drawn towards the usual number as it ages, and what was sent from
-// here since.
+// report, drawn towards the usual number as it ages, and what is known from
+// here. Own calls above their usual number stand for those of the other
+// daemons too, which know much the same and choose much the same.
 func (u *upstream) calls(now time.Time) float64 {
 	if u.measured.IsZero() {
 		return float64(len(u.started))
 	}
 	reported := float64(u.load.InFlight + u.load.Queued)
 	trust := fade(now.Sub(u.measured), loadLife)
-	return u.usual + (reported-u.usual)*trust + float64(u.startedSince(u.measured))
+	above := ownWeight * (float64(len(u.started)) - u.ownUsual)
+	return trust*(reported+float64(u.startedSince(u.measured))) + (1-trust)*(u.usual+above)
 }
 
 // failShare returns the larger of the own and the reported failed share.
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -37,6 +37,8 @@
 	load        Load
 	measured    time.Time // when load was true; zero when nothing was heard
 	usual       float64   // usual number of calls in flight and queued
+	ownUsual    float64   // usual number of calls from here
+	ownAt       time.Time // up to when ownUsual holds them
 	refused     float64
 	refusedAt   time.Time
 	ejection    ejection
@@ -44,11 +46,13 @@
 
 // start counts a call that leaves now.
 func (u *upstream) start(now time.Time) {
+	u.average(now)
 	u.started = append(u.started, now)
 }
 
 // finish counts the end of a call.
 func (u *upstream) finish(r Result, now time.Time) {
+	u.average(now)
 	u.end(now.Add(-r.Latency))
 	switch {
 	case r.NotRun && !r.Failed:
@@ -63,6 +67,15 @@
 	}
 }
 
+// average brings the usual number of own calls up to now.
+func (u *upstream) average(now time.Time) {
+	if !u.ownAt.IsZero() {
+		calls := float64(len(u.started))
+		u.ownUsual = calls + (u.ownUsual-calls)*fade(now.Sub(u.ownAt), usualLife)
+	}
+	u.ownAt = now
+}
+
 // end removes the outstanding call that was started nearest to at.
 func (u *upstream) end(at time.Time) {
 	best, distance := -1, time.Duration(0)
