spread, membership: fresh daemons hear leaving ones

Cause: where all old daemons are leaving, fresh ones counted only each other, agreed on the old revision of a stale platform and were confirmed 2 s after the start. Leaving instances are now among those to compare with: they fill empty places of neighbours, any other instance may be one, and PeerCount counts them. Config.Peers defaults to the count of live others, so that node goes on as before until it sets it.

--- a/membership/overlay.go
+++ b/membership/overlay.go
@@ -21,8 +21,10 @@
 	generation uint64
 	neighbours []Record
 	ids        []string
-	live       []*member
-	zones      int
+	// present holds the live and the leaving, live how many are live.
+	present []*member
+	live    int
+	zones   int
 	// rank is this daemon's place among the live ones of its zone.
 	rank int
 }
@@ -49,24 +51,34 @@
 	return x ^ x>>31
 }
 
-// Neighbours returns the live instances that this daemon keeps in touch with,
+// Neighbours returns the instances that this daemon keeps in touch with,
 // chosen by rendezvous hashing (Thaler and Ravishankar, 1998) of the pair: four
 // in its zone, two in other zones of its region and two in other regions. Where
-// there are fewer of one kind, others take their places. The slice is shared.
+// there are fewer of one kind, others take their places, leaving ones last: they
+// may hold what no fresh daemon has. The slice is shared.
 func (v *View) Neighbours() []Record { return v.refresh().neighbours }
 
 // NeighbourIDs returns the IDs of Neighbours. The slice is shared.
 func (v *View) NeighbourIDs() []string { return v.refresh().ids }
 
 // LiveCount returns the number of live instances, this one included.
-func (v *View) LiveCount() int { return len(v.refresh().live) }
+func (v *View) LiveCount() int { return v.refresh().live }
 
-// Other returns a live instance other than this one, chosen by a random number,
-// or false if there is none.
+// PeerCount returns the number of other instances that are live or leaving.
+func (v *View) PeerCount() int {
+	present := len(v.refresh().present)
+	if v.Self().State == Gone {
+		return present
+	}
+	return present - 1
+}
+
+// Other returns a live or leaving instance other than this one, chosen by a
+// random number, or false if there is none.
 func (v *View) Other(random uint64) (Record, bool) {
-	live := v.refresh().live
-	for i := range min(len(live), 2) {
-		m := live[(random+uint64(i))%uint64(len(live))]
+	present := v.refresh().present
+	for i := range min(len(present), 2) {
+		m := present[(random+uint64(i))%uint64(len(present))]
 		if m.ID != v.config.Self.ID {
 			return m.Record, true
 		}
@@ -108,18 +120,23 @@
 	self := v.self()
 	zone := mix(xxhash.Sum64String(self.Region), xxhash.Sum64String(self.AvailabilityZone))
 	own := mix(zone, self.hash)
-	o := overlay{generation: v.generation, live: v.overlay.live[:0]}
-	var inZone, inRegion, elsewhere candidates
+	o := overlay{generation: v.generation, present: v.overlay.present[:0]}
+	var inZone, inRegion, elsewhere, leaving candidates
 	for _, m := range v.all.members {
-		if m.State != Live {
+		if m.State == Gone {
 			continue
 		}
-		o.live = append(o.live, m)
+		o.present = append(o.present, m)
+		if m.State == Live {
+			o.live++
+		}
 		if m == self {
 			continue
 		}
 		c := candidate{m, mix(self.hash, m.hash)}
 		switch {
+		case m.State == Leaving:
+			leaving.add(c, neighboursTotal)
 		case m.place() == self.place():
 			inZone.add(c, neighboursTotal)
 			if mix(zone, m.hash) > own {
@@ -131,8 +148,8 @@
 			elsewhere.add(c, neighboursTotal)
 		}
 	}
-	o.zones = countZones(o.live)
-	o.neighbours = chooseNeighbours(inZone, inRegion, elsewhere).records()
+	o.zones = countZones(o.present)
+	o.neighbours = chooseNeighbours(inZone, inRegion, elsewhere, leaving).records()
 	for _, r := range o.neighbours {
 		o.ids = append(o.ids, r.ID)
 	}
@@ -140,10 +157,10 @@
 }
 
 // countZones returns the number of zones; a slice will do, as they are few.
-func countZones(live []*member) int {
+func countZones(present []*member) int {
 	var zones []place
-	for _, m := range live {
-		if !slices.Contains(zones, m.place()) {
+	for _, m := range present {
+		if m.State == Live && !slices.Contains(zones, m.place()) {
 			zones = append(zones, m.place())
 		}
 	}
@@ -151,12 +168,12 @@
 }
 
 // chooseNeighbours takes the heaviest of each kind and fills up from the rest.
-func chooseNeighbours(inZone, inRegion, elsewhere candidates) candidates {
+func chooseNeighbours(inZone, inRegion, elsewhere, leaving candidates) candidates {
 	zone := min(len(inZone), neighboursInZone)
 	region := min(len(inRegion), neighboursInRegion)
 	other := min(len(elsewhere), neighboursElse)
 	chosen := slices.Concat(inZone[:zone], inRegion[:region], elsewhere[:other])
-	rest := slices.Concat(inZone[zone:], inRegion[region:], elsewhere[other:])
+	rest := slices.Concat(inZone[zone:], inRegion[region:], elsewhere[other:], leaving)
 	return append(chosen, rest[:min(len(rest), neighboursTotal-len(chosen))]...)
 }
 
--- a/spread/confirm.go
+++ b/spread/confirm.go
@@ -66,7 +66,7 @@
 	if c.done {
 		return true
 	}
-	others := s.config.Live() - 1
+	others := s.config.Peers()
 	listed := s.reading.listed
 	waited := now.Sub(c.since) >= s.config.ConfirmWait
 	switch {
--- a/spread/joint_test.go
+++ b/spread/joint_test.go
@@ -52,6 +52,7 @@
 			r, _ := view.Other(c.rand.Uint64())
 			return r.ID
 		},
+		Peers:   view.PeerCount,
 		Live:    view.LiveCount,
 		Reader:  func() bool { return view.Reader(2) },
 		Readers: func() int { return 2 * view.ZoneCount() },
@@ -81,6 +82,9 @@
 		case ReadPlatform:
 			c.do(t, n, c.answer(t, n, a.Read))
 		case Deliver:
+			if !a.Item.IsRecord() {
+				continue
+			}
 			r, err := a.Item.Record()
 			if err != nil {
 				t.Fatal(err)
@@ -232,3 +236,42 @@
 		})
 	}
 }
+
+// Hard case 5: all old daemons are leaving when the fresh ones start beside a
+// platform that is stuck at an older revision.
+func TestCase05FreshDaemonsHearLeavingOnes(t *testing.T) {
+	const old, fresh = 5, 5
+	switches := func(revision uint64) Item { return Item{Key: "switches", Version: Version{Major: revision}} }
+	c := newCompany(t, old)
+	if err := c.nodes["0"].state.Put(switches(9), c.now); err != nil {
+		t.Fatal(err)
+	}
+	c.run(t, time.Minute)
+	for i := range old {
+		c.list(i, membership.Leaving)
+	}
+	c.run(t, time.Second)
+	for i := old; i < old+fresh; i++ {
+		c.entries = append(c.entries, membership.ListEntry{Instance: record(i).Instance, State: membership.Live})
+		c.version++
+		c.ids = append(c.ids, record(i).ID)
+		c.start(t, i, 1)
+		if err := c.nodes[record(i).ID].state.Put(switches(3), c.now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 1500 {
+		c.run(t, 20*time.Millisecond)
+		for id, n := range c.nodes {
+			item, _ := n.state.Get("switches")
+			if n.state.Confirmed(c.now) && item.Version.Major != 9 {
+				t.Fatalf("%s trusts revision %d after %v", id, item.Version.Major, c.now.Sub(epoch))
+			}
+		}
+	}
+	for id, n := range c.nodes {
+		if !n.state.Confirmed(c.now) {
+			t.Errorf("%s is not confirmed", id)
+		}
+	}
+}
--- a/spread/platform.go
+++ b/spread/platform.go
@@ -118,7 +118,7 @@
 
 // listed reports whether other instances can be known, from the platform or
 // from a daemon.
-func (s *State) listed() bool { return s.reading.listed || s.config.Live() > 1 }
+func (s *State) listed() bool { return s.reading.listed || s.config.Peers() > 0 }
 
 // readDue returns when read has something to do next.
 func (s *State) readDue() time.Time {
@@ -224,7 +224,8 @@
 }
 
 // Instances notes the version of the platform's list that was read. The list
-// itself is membership's; its changes come back by Put.
+// itself is membership's and must have been merged before, with its changes
+// handed to Put: whether there is anybody to compare with hangs on it.
 func (s *State) Instances(version uint64, now time.Time) []Action {
 	s.touch(now, now)
 	if !s.reading.listed {
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -55,8 +55,11 @@
 
 	// Neighbours returns the IDs that this daemon keeps in touch with.
 	Neighbours func() []string
-	// Other returns the ID of any live instance, or "" if there is none.
+	// Other returns the ID of any live or leaving instance, or "".
 	Other func() string
+	// Peers returns the number of other instances, live or leaving. The default
+	// counts the live ones.
+	Peers func() int
 	// Live returns the number of live instances, this one included.
 	Live func() int
 	// Reader reports whether this daemon is to watch the platform.
@@ -99,6 +102,9 @@
 	setDuration(&c.ReaderTimeout, DefaultReaderTimeout)
 	setDuration(&c.ConfirmWait, DefaultConfirmWait)
 	setDuration(&c.TombstoneLife, DefaultTombstoneLife)
+	if live := c.Live; c.Peers == nil {
+		c.Peers = func() int { return live() - 1 }
+	}
 	return c
 }
 
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -147,20 +147,20 @@
 func TestConfirmedAlone(t *testing.T) {
 	tests := map[string]struct {
 		listed bool
-		live   int
+		peers  int
 		after  time.Duration
 		want   bool
 	}{
-		"no platform, no peers":    {false, 1, time.Hour, false},
-		"alone in the list":        {true, 1, 0, true},
-		"peers not reached yet":    {true, 5, 19 * time.Second, false},
-		"peers not reached at all": {true, 5, time.Hour, false},
+		"no platform, no peers":    {false, 0, time.Hour, false},
+		"alone in the list":        {true, 0, 0, true},
+		"peers not reached yet":    {true, 4, 19 * time.Second, false},
+		"peers not reached at all": {true, 4, time.Hour, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(2, seeded(1))
 			s := f.machines[0].State
-			s.config.Live = func() int { return test.live }
+			s.config.Peers = func() int { return test.peers }
 			if test.listed {
 				s.Instances(1, epoch)
 			}
