balance: draw the number of calls from what is believed

Cause: 300 daemons that believe the same choose the same, and a daemon's own calls are too few to tell it of the others.

Change: the number of calls at an upstream is drawn around what is believed, with a standard deviation of twice its square root (Thompson sampling).

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -26,6 +26,9 @@
 	// overdueFactor is how many times its usual latency a call may take
 	// before it counts as a sign of a slow upstream.
 	overdueFactor = 3
+	// doubt is the standard deviation of the number of calls there, as a
+	// multiple of its square root.
+	doubt = 2
 	// smoothing is the number of calls over which the expected wait bends
 	// from none to one slot's time for each call.
 	smoothing = 1.5
@@ -35,7 +38,7 @@
 // without the link.
 func (p *Picker) cost(u *upstream, now time.Time) float64 {
 	service := p.service(u, now)
-	cost := service + wait(u.calls(now), u.load.Slots, service)
+	cost := service + wait(p.guess(u.calls(now)), u.load.Slots, service)
 	if oldest := u.oldest(); !oldest.IsZero() {
 		cost = max(cost, float64(now.Sub(oldest))/overdueFactor)
 	}
@@ -77,6 +80,21 @@
 	return trust*(reported+float64(u.startedSince(u.measured))) + (1-trust)*(u.usual+above)
 }
 
+// guess draws a number of calls from what is believed about it. Daemons that
+// believe the same then do not all choose the same (Thompson sampling).
+func (p *Picker) guess(calls float64) float64 {
+	return calls + doubt*p.normal()*math.Sqrt(max(calls, 1))
+}
+
+// normal draws from about a normal distribution, as a sum of four uniform
+// numbers.
+func (p *Picker) normal() float64 {
+	const part, parts, deviation = 1 << 16, 4, 0.5774 // of the sum
+	r := p.config.Rand()
+	sum := r%part + r>>16%part + r>>32%part + r>>48
+	return (float64(sum)/part - parts/2) / deviation
+}
+
 // failShare returns the larger of the own and the reported failed share.
 func (u *upstream) failShare(now time.Time) float64 {
 	share := u.own.FailShare(now)
