balance: believe a longer average, not the last report

Cause: reports 500 ms old at 300 daemons: the daemons answer a report together, and see what they did only half a second later.

Change: the last report's own count is not used any more; the usual number is averaged over 2 s and ten times the report's age.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// loadLife is the time in which a load report loses 63 % of its weight
-	// against the usual load.
-	loadLife = 20 * time.Millisecond
 	// ownWeight is the number of calls that one own call above the usual
 	// number stands for.
 	ownWeight = 8
@@ -38,7 +35,7 @@
 // without the link.
 func (p *Picker) cost(u *upstream, now time.Time) float64 {
 	service := p.service(u, now)
-	cost := service + wait(p.guess(u.calls(now)), u.load.Slots, service)
+	cost := service + wait(p.guess(u.calls()), u.load.Slots, service)
 	if oldest := u.oldest(); !oldest.IsZero() {
 		cost = max(cost, float64(now.Sub(oldest))/overdueFactor)
 	}
@@ -66,18 +63,15 @@
 	return p.typical + (known-p.typical)*fade(now.Sub(at), latencyLife)
 }
 
-// calls returns the expected number of calls in flight and queued: the last
-// report, drawn towards the usual number as it ages, and what is known from
-// here. Own calls above their usual number stand for those of the other
-// daemons too, which know much the same and choose much the same.
-func (u *upstream) calls(now time.Time) float64 {
+// calls returns the expected number of calls in flight and queued. Own calls
+// above their usual number stand for those of the other daemons too, which know
+// much the same and choose much the same.
+func (u *upstream) calls() float64 {
+	own := float64(len(u.started))
 	if u.measured.IsZero() {
-		return float64(len(u.started))
+		return own
 	}
-	reported := float64(u.load.InFlight + u.load.Queued)
-	trust := fade(now.Sub(u.measured), loadLife)
-	above := ownWeight * (float64(len(u.started)) - u.ownUsual)
-	return trust*(reported+float64(u.startedSince(u.measured))) + (1-trust)*(u.usual+above)
+	return max(own, u.usual+ownWeight*(own-u.ownUsual))
 }
 
 // guess draws a number of calls from what is believed about it. Daemons that
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -6,8 +6,13 @@
 )
 
 const (
-	// usualLife is the time over which the usual number of calls is averaged.
+	// usualLife is the time over which the usual number of calls is averaged,
+	// and ageFactor the multiple of a report's age by which it is longer. All
+	// daemons act on the same reports, and their answer to a report shows only
+	// when the next one is as old. An average over much more than that time
+	// keeps them from swinging.
 	usualLife = 2 * time.Second
+	ageFactor = 10
 	// refusedLife is the time in which the memory of a refusal loses 63 %.
 	refusedLife = 100 * time.Millisecond
 	// drainLife is how long a report of draining is believed without another.
@@ -102,7 +107,7 @@
 	if u.measured.IsZero() {
 		u.usual = calls
 	} else {
-		u.usual = calls + (u.usual-calls)*fade(measured.Sub(u.measured), usualLife)
+		u.usual = calls + (u.usual-calls)*fade(measured.Sub(u.measured), usualLife+ageFactor*load.Age)
 	}
 	u.load, u.measured = load, measured
 }
@@ -115,16 +120,6 @@
 	return u.started[0]
 }
 
-// startedSince counts the outstanding calls that a report of time at does not
-// hold.
-func (u *upstream) startedSince(at time.Time) int {
-	n := 0
-	for i := len(u.started) - 1; i >= 0 && u.started[i].After(at); i-- {
-		n++
-	}
-	return n
-}
-
 // closed reports whether the upstream takes no new calls.
 func (u *upstream) closed(now time.Time) bool {
 	return (u.load.State == Draining || u.load.State == Down) &&
