node: use what membership and spread offer; a planted fault that is found again

Cause: node wrote again what spread and membership do (records as items, any other instance, neighbours that leave).

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -22,9 +22,6 @@
 	kindReply     = "once.reply"
 )
 
-// recordPrefix begins the keys under which membership records spread.
-const recordPrefix = "instances/"
-
 // readersPerZone is how many daemons of each availability zone watch the
 // platform.
 const readersPerZone = 2
@@ -36,7 +33,9 @@
 		Incarnation: n.cfg.Incarnation,
 		Neighbours:  n.neighbourIDs,
 		Other:       n.anyOther,
+		Peers:       n.view.PeerCount,
 		Live:        n.view.LiveCount,
+		First:       config.KeySwitches,
 		Reader:      func() bool { return n.view.Reader(readersPerZone) },
 		Readers:     func() int { return readersPerZone * n.view.ZoneCount() },
 		Rand:        n.cfg.Rand,
@@ -45,41 +44,18 @@
 	}, now)
 }
 
-// fewNeighbours is the number of live neighbours below which leaving daemons of
-// the own service count too: they still answer.
-const fewNeighbours = 2
-
 func (n *Node) neighbourIDs() []string {
 	var ids []string
 	for _, r := range n.view.Neighbours() {
 		ids = append(ids, r.ID)
 	}
-	if len(ids) >= fewNeighbours {
-		return ids
-	}
-	for _, m := range n.view.Group(n.cfg.Self.Service) {
-		if m.State == membership.Leaving && m.ID != n.cfg.Self.ID {
-			ids = append(ids, m.ID)
-		}
-	}
 	return ids
 }
 
-// anyOther returns some live instance other than this one.
+// anyOther returns some instance other than this one, or "".
 func (n *Node) anyOther() string {
-	services := n.view.Services()
-	if len(services) == 0 {
-		return ""
-	}
-	service := services[n.cfg.Rand()%uint64(len(services))]
-	records := n.view.Serving(service)
-	if len(records) == 0 {
-		return ""
-	}
-	if r := records[n.cfg.Rand()%uint64(len(records))]; r.ID != n.cfg.Self.ID {
-		return r.ID
-	}
-	return ""
+	r, _ := n.view.Other(n.cfg.Rand())
+	return r.ID
 }
 
 // documentVersion orders documents as config.Newer does. A rival with the
@@ -133,7 +109,7 @@
 // deliverItem takes in an item that is newer than any before it.
 func (n *Node) deliverItem(item spread.Item, now time.Time) []Command {
 	switch {
-	case strings.HasPrefix(item.Key, recordPrefix):
+	case item.IsRecord():
 		return n.mergeRecord(item, now)
 	case strings.HasPrefix(item.Key, spread.RefusedPrefix):
 		key := strings.TrimPrefix(item.Key, spread.RefusedPrefix)
@@ -159,7 +135,7 @@
 }
 
 func (n *Node) refuseItem(item spread.Item, err error, now time.Time) []Command {
-	if strings.HasPrefix(item.Key, recordPrefix) {
+	if item.IsRecord() {
 		return nil
 	}
 	return n.rejectDocument(item.Key, err, now)
@@ -176,9 +152,9 @@
 
 // mergeRecord takes in a membership record that came by spread.
 func (n *Node) mergeRecord(item spread.Item, now time.Time) []Command {
-	var r membership.Record
-	if err := json.Unmarshal(item.Body, &r); err != nil || recordPrefix+r.ID != item.Key {
-		return []Command{Note{Part: "membership", Text: "A record could not be read.", Warn: true}}
+	r, err := item.Record()
+	if err != nil {
+		return []Command{Note{Part: "membership", Text: "A record could not be read. " + err.Error(), Warn: true}}
 	}
 	self := n.view.Self()
 	if n.view.Merge(r, now) && n.view.Self() != self {
@@ -194,17 +170,9 @@
 
 // putRecord spreads a record that this daemon found changed.
 func (n *Node) putRecord(r membership.Record, now time.Time) {
-	body, err := json.Marshal(r)
-	if err != nil {
-		return
-	}
-	major, minor := r.Order()
-	_ = n.spread.Put(spread.Item{
-		Key:       recordPrefix + r.ID,
-		Version:   spread.Version{Major: major, Minor: minor},
-		Body:      body,
-		Tombstone: r.State == membership.Gone,
-	}, now)
+	if item, err := spread.RecordItem(r); err == nil {
+		_ = n.spread.Put(item, now)
+	}
 }
 
 // instancesRead takes in the platform's list and spreads what it changes.
--- a/node/schedule_test.go
+++ b/node/schedule_test.go
@@ -190,6 +190,9 @@
 		m.frozen = w.now.Add(time.Duration(w.rand.IntN(30_000)) * time.Millisecond)
 	case 1:
 		w.start(i)
+		if w.plant.amnesia {
+			w.restartAll()
+		}
 	case 2:
 		w.cut = map[string]int{m.id: 1}
 	case 3:
@@ -213,6 +216,17 @@
 	}
 }
 
+// restartAll starts every daemon anew beside a platform that shows the first
+// documents again, and keeps what the old lives held as the least to be held.
+func (w *world) restartAll() {
+	w.behind, w.down = true, false
+	w.stale = map[string]document{}
+	w.stale["switches"] = document{w.version, firstSwitches}
+	for i := range w.nodes {
+		w.start(i)
+	}
+}
+
 // operate publishes new switches, sometimes two rivals of one revision.
 func (w *world) operate() {
 	revision := w.version + 10
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -90,6 +90,8 @@
 	msg node.Message
 }
 
+const firstSwitches = `{"kind":"switches","revision":1,"allow":["retry","handOn","loadAware","spillOver","eject"]}`
+
 func newWorld(seed uint64) *world {
 	w := &world{
 		rand: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_800_000_000, 0),
@@ -98,7 +100,7 @@
 	}
 	w.publish("services/faults", `{"kind":"service","revision":1,"service":"faults",
 		"selectors":[{"name":"all","callers":["*"]}],"limits":{"slots":2,"queue":4,"timeoutMs":3000}}`)
-	w.publish("switches", `{"kind":"switches","revision":1,"allow":["retry","handOn","loadAware","spillOver","eject"]}`)
+	w.publish("switches", firstSwitches)
 	w.stale = map[string]document{}
 	for i := range instances {
 		w.nodes = append(w.nodes, nil)
