--- a/experiment/load.go
+++ b/experiment/load.go
@@ -126,10 +126,11 @@
 	sent    int
 	fine    int
 	cross   int
+	faults  map[Fault]int
 }
 
 func newCallLog(f *Fleet, from time.Time) *callLog {
-	log := &callLog{from: from, zones: map[string]string{}, latency: standin.NewLatency()}
+	log := &callLog{from: from, zones: map[string]string{}, latency: standin.NewLatency(), faults: map[Fault]int{}}
 	for _, u := range f.upstreams {
 		log.zones[u.id] = u.zone
 	}
@@ -149,6 +150,7 @@
 	took := x.EndUs - x.IntendedUs
 	if x.Verdict != standin.Fine {
 		_ = l.latency.RecordValue(max(took, callDeadline.Microseconds()))
+		l.faults[Fault{Verdict: x.Verdict, Outcome: x.Outcome, Reason: x.Reason}]++
 		return
 	}
 	_ = l.latency.RecordValue(max(took, 0))
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/standin"
 )
 
@@ -38,6 +39,8 @@
 	// CrossZone counts answers from another zone than that of the daemon
 	// called.
 	CrossZone int
+	// Faults counts the other calls by what the callers were told.
+	Faults map[Fault]int
 	// Duration is the measured time, and Upstreams the number of daemons.
 	Duration  time.Duration
 	Upstreams int
@@ -47,6 +50,13 @@
 	Violations []standin.Violation
 }
 
+// Fault is what a caller was told that got no whole answer.
+type Fault struct {
+	Verdict standin.Verdict
+	Outcome call.Outcome
+	Reason  call.Reason
+}
+
 // Spent counts what daemons do beside passing calls on.
 type Spent struct {
 	Attempts, Further, HandedOn int64
@@ -164,7 +174,7 @@
 		executions = append(executions, u.worker.Executions()...)
 	}
 	return Result{
-		Latency: log.latency, Sent: log.sent, Answered: log.fine, CrossZone: log.cross,
+		Latency: log.latency, Sent: log.sent, Answered: log.fine, CrossZone: log.cross, Faults: log.faults,
 		Duration: f.cfg.Duration, Upstreams: len(f.upstreams), Spent: spent,
 		Violations: standin.Check(log.history, executions, false),
 	}
--- a/experiment/table_test.go
+++ b/experiment/table_test.go
@@ -76,6 +76,9 @@
 		}
 		for i, result := range runRound(t, cfg, list, round) {
 			rows[i].Results = append(rows[i].Results, result)
+			if len(result.Faults) > 0 {
+				t.Logf("round %d, %s: %v", round+1, list[i].Name, result.Faults)
+			}
 			for _, v := range result.Violations {
 				t.Errorf("%s: %+v", list[i].Name, v)
 			}
