--- /dev/null
+++ b/daemon/bench_test.go
@@ -0,0 +1,43 @@
+package daemon_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/exchange"
+)
+
+// BenchmarkPath measures one call at a time through two daemons to an upstream
+// that answers at once, and the same call to that upstream alone. Caller,
+// daemons and upstream share the process, so the allocations are those of all.
+func BenchmarkPath(b *testing.B) {
+	f := startFleet(b, 2)
+	cases := map[string]struct {
+		address string
+		service string
+	}{
+		"direct":      {f.workers[0].Addr(), "faults"},
+		"two daemons": {f.listen[0], "faults"},
+	}
+	for name, tc := range cases {
+		b.Run(name, func(b *testing.B) {
+			pool := exchange.New(exchange.Config{Address: tc.address})
+			defer pool.Close()
+			req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+			req.Header.SetRequestURI("/clocks/17")
+			req.Header.SetHost(tc.service)
+			req.Header.Set(call.HeaderCaller, "dispatch-1")
+			req.Header.Set("X-Work-Us", "1")
+			b.ReportAllocs()
+			for b.Loop() {
+				resp.Reset()
+				if err := pool.Do(context.Background(), req, resp); err != nil || resp.StatusCode() != 200 {
+					b.Fatalf("status %d: %v", resp.StatusCode(), err)
+				}
+			}
+		})
+	}
+}
