--- a/spread/spread.go
+++ b/spread/spread.go
@@ -30,6 +30,7 @@
 	DefaultReaderTimeout = 10 * time.Second
 	DefaultConfirmWait   = 20 * time.Second
 	DefaultTombstoneLife = 24 * time.Hour
+	DefaultFirst         = "switches"
 )
 
 const (
@@ -76,7 +77,8 @@
 	Fanout int
 	// CompareEvery is the pause between two comparisons with another daemon.
 	CompareEvery time.Duration
-	// First is the key that is read from the platform before all others.
+	// First is the key that is read from the platform before all others. The
+	// default is DefaultFirst.
 	First string
 	// ReadShare is the fleet's share of the platform's reads per second.
 	ReadShare int
@@ -102,6 +104,9 @@
 	setDuration(&c.ReaderTimeout, DefaultReaderTimeout)
 	setDuration(&c.ConfirmWait, DefaultConfirmWait)
 	setDuration(&c.TombstoneLife, DefaultTombstoneLife)
+	if c.First == "" {
+		c.First = DefaultFirst
+	}
 	if live := c.Live; c.Peers == nil {
 		c.Peers = func() int { return live() - 1 }
 	}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -243,7 +243,7 @@
 func TestFirstIsReadFirst(t *testing.T) {
 	f := newFleet(2, seeded(1))
 	s := f.machines[1].State
-	s.config.First = "switches"
+	s.config.First = DefaultFirst
 	keys := []KeyVersion{{"a", 1}, {"b", 2}, {"switches", 3}, {"c", 4}}
 	for _, action := range s.Index(4, keys, epoch) {
 		if action.Kind == ReadPlatform && action.Read.Kind == ReadValue {
