--- a/node/fleet.go
+++ b/node/fleet.go
@@ -31,11 +31,10 @@
 	return spread.New(spread.Config{
 		Self:        n.cfg.Self.ID,
 		Incarnation: n.cfg.Incarnation,
-		Neighbours:  n.neighbourIDs,
+		Neighbours:  n.view.NeighbourIDs,
 		Other:       n.anyOther,
 		Peers:       n.view.PeerCount,
 		Live:        n.view.LiveCount,
-		First:       config.KeySwitches,
 		Reader:      func() bool { return n.view.Reader(readersPerZone) },
 		Readers:     func() int { return readersPerZone * n.view.ZoneCount() },
 		Rand:        n.cfg.Rand,
@@ -44,14 +43,6 @@
 	}, now)
 }
 
-func (n *Node) neighbourIDs() []string {
-	var ids []string
-	for _, r := range n.view.Neighbours() {
-		ids = append(ids, r.ID)
-	}
-	return ids
-}
-
 // anyOther returns some instance other than this one, or "".
 func (n *Node) anyOther() string {
 	r, _ := n.view.Other(n.cfg.Rand())
