--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -31,6 +31,7 @@
 	"drain":    step(1, 1, cmdDrain),
 	"slow":     step(2, 2, cmdSlow),
 	"fail":     step(2, 2, cmdFail),
+	"cut":      step(2, 2, cmdCut),
 	"expect":   step(1, 9, cmdExpect),
 }
 
@@ -199,6 +200,22 @@
 	return nil
 }
 
+// cmdCut cuts the link between a daemon and its worker, or mends it.
+func cmdCut(w *world, _ *testscript.TestScript, args []string) error {
+	m, err := w.member(args[0])
+	if err != nil {
+		return err
+	}
+	cut := standin.Cut(args[1])
+	switch cut {
+	case standin.CutOff, standin.CutBlackHole, standin.CutReset:
+	default:
+		return fmt.Errorf("cut %q: %w", cut, errUsage)
+	}
+	m.link.Set(standin.Link{Cut: cut})
+	return nil
+}
+
 // logs returns the last lines of each daemon's log.
 func (w *world) logs() string {
 	var out strings.Builder
--- a/scenario/doc_test.go
+++ b/scenario/doc_test.go
@@ -16,6 +16,7 @@
 //	replace ID NEW             a new daemon and worker on the old addresses
 //	drain ID, slow ID FACTOR   a worker that drains, or slows down
 //	fail ID on|off             a worker that fails each request at once
+//	cut ID off|blackHole|reset the link between a daemon and its worker
 //	expect WHAT ...            see expectations in expect_test.go
 //
 // An ID may be home:NAME, the daemon that issued the key of that name.
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -48,14 +48,13 @@
 	failures []error
 }
 
-// member is one instance: a worker and its daemon.
+// member is one instance: a worker, its daemon and the link between them.
 type member struct {
-	worker   *standin.Worker
-	daemon   *standin.Daemon
-	links    []*standin.Relay
-	drained  time.Time
-	failing  time.Time
-	expected bool
+	worker  *standin.Worker
+	daemon  *standin.Daemon
+	link    *standin.Relay
+	drained time.Time
+	failing time.Time
 }
 
 // order is a request that a script sends more than once.
@@ -80,9 +79,7 @@
 	for _, m := range w.members {
 		m.daemon.Kill()
 		m.worker.Close()
-		for _, l := range m.links {
-			l.Close()
-		}
+		m.link.Close()
 	}
 	for _, old := range w.retired {
 		old.Close()
@@ -128,15 +125,21 @@
 	if err != nil {
 		return nil, err
 	}
+	link, err := standin.NewRelay(standin.RelayConfig{To: worker.Addr()})
+	if err != nil {
+		worker.Close()
+		return nil, err
+	}
 	daemon, err := standin.StartDaemon(standin.DaemonConfig{
-		Path: daemonPath, Instance: in, Upstream: worker.Addr(),
+		Path: daemonPath, Instance: in, Upstream: link.Addr(),
 		Platforms: []string{w.platform.Addr()}, LogLevel: "info",
 	})
 	if err != nil {
+		link.Close()
 		worker.Close()
 		return nil, err
 	}
-	m := &member{worker: worker, daemon: daemon}
+	m := &member{worker: worker, link: link, daemon: daemon}
 	w.members[in.ID] = m
 	w.order = append(w.order, in.ID)
 	return m, w.platform.SetInstance(daemon.Config().Instance)
@@ -153,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	m.daemon, m.expected = next, false
+	m.daemon = next
 	return nil
 }
 
@@ -178,7 +181,7 @@
 		worker.Close()
 		return err
 	}
-	w.members[by] = &member{worker: worker, daemon: next}
+	w.members[by] = &member{worker: worker, link: m.link, daemon: next}
 	w.platform.RemoveInstance(id)
 	w.order = append(slices.DeleteFunc(w.order, func(o string) bool { return o == id }), by)
 	return w.platform.SetInstance(cfg.Instance)
