--- /dev/null
+++ b/cmd/pomelodoor/main_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const goodService = `{"kind":"service","revision":1,"service":"faults",
+ "labels":[{"instances":["faults-1"],"set":{"tier":"gold"}}],
+ "selectors":[{"name":"dispatchers","callers":["dispatch-*"],"upstreams":{"tier":"gold"}}]}`
+
+func TestCommandLine(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := write("good.json", goodService)
+	bad := write("bad.json", "{\"kind\":\"service\",\n\"revision\":0,\n\"service\":\"faults\",\"colour\":1}")
+	settings := strings.Fields("run --instance faults-1 --service faults --availability-zone a --listen 127.0.0.1:1 " +
+		"--peer 127.0.0.1:2 --control 127.0.0.1:3 --admin 127.0.0.1:4 --upstream 127.0.0.1:5 --platform 127.0.0.1:6")
+	cases := map[string]struct {
+		args []string
+		code int
+		want []string
+	}{
+		"no command":       {nil, exitUsage, []string{"Usage:"}},
+		"help":             {[]string{"--help"}, exitOK, []string{"run", "check", "explain", "status", "burn"}},
+		"version":          {[]string{"version"}, exitOK, []string{"pomelodoor " + version}},
+		"unknown flag":     {[]string{"run", "--colour"}, exitUsage, []string{"colour"}},
+		"missing flags":    {[]string{"run"}, exitUsage, []string{"--instance is required", "POMELODOOR_INSTANCE"}},
+		"bad address":      {append(settings, "--listen", "localhost:80"), exitUsage, []string{`--listen: "localhost:80" is not IP:PORT`}},
+		"two bad settings": {append(settings, "--log-level", "loud", "--drain-seconds", "-1"), exitUsage, []string{"--log-level", "--drain-seconds"}},
+		"one port twice":   {append(settings, "--peer", "127.0.0.1:1"), exitUsage, []string{"--peer", "already used by --listen"}},
+		"check good":       {[]string{"check", good}, exitOK, []string{"good: services/faults revision 1"}},
+		"check bad":        {[]string{"check", good, bad}, exitFault, []string{"bad.json:2: revision", "bad.json:3: colour"}},
+		"check no file":    {[]string{"check", filepath.Join(dir, "none")}, exitFault, []string{"none"}},
+		"explain":          {[]string{"explain", "--caller", "dispatch-1", "--instance", "faults-1:a", "--instance", "faults-2:b", good}, exitOK, []string{"dispatchers", "faults-1", "faults-2"}},
+		"status of nobody": {[]string{"status", "127.0.0.1:1"}, exitFault, []string{"missing"}},
+		"burn of nobody":   {[]string{"burn", "127.0.0.1:1"}, exitFault, []string{"missing"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			if code := run(tc.args, &out, &out); code != tc.code {
+				t.Errorf("exit code %d, want %d", code, tc.code)
+			}
+			for _, text := range tc.want {
+				if !strings.Contains(out.String(), text) {
+					t.Errorf("output lacks %q:\n%s", text, out.String())
+				}
+			}
+		})
+	}
+}
