--- a/cmd/pomelodoor/main_test.go
+++ b/cmd/pomelodoor/main_test.go
@@ -34,7 +34,7 @@
 		"help":             {[]string{"--help"}, exitOK, []string{"run", "check", "explain", "status", "burn"}},
 		"version":          {[]string{"version"}, exitOK, []string{"pomelodoor " + version}},
 		"unknown flag":     {[]string{"run", "--colour"}, exitUsage, []string{"colour"}},
-		"missing flags":    {[]string{"run"}, exitUsage, []string{"--instance is required", "POMELODOOR_INSTANCE"}},
+		"missing flags":    {[]string{"run"}, exitUsage, []string{"INSTANCE is required", "POMELODOOR_INSTANCE", "--instance"}},
 		"bad address":      {append(settings, "--listen", "localhost:80"), exitUsage, []string{`--listen: "localhost:80" is not IP:PORT`}},
 		"two bad settings": {append(settings, "--log-level", "loud", "--drain-seconds", "-1"), exitUsage, []string{"--log-level", "--drain-seconds"}},
 		"one port twice":   {append(settings, "--peer", "127.0.0.1:1"), exitUsage, []string{"--peer", "already used by --listen"}},
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -17,12 +17,12 @@
 	Service          string   `arg:"--service,required,env:POMELODOOR_SERVICE" help:"service that the upstream belongs to"`
 	AvailabilityZone string   `arg:"--availability-zone,required,env:POMELODOOR_AVAILABILITY_ZONE" help:"availability zone of this instance"`
 	Region           string   `arg:"--region,env:POMELODOOR_REGION" default:"default" placeholder:"REGION" help:"region of this instance"`
-	Listen           string   `arg:"--listen,required,env:POMELODOOR_LISTEN" help:"HTTP for callers"`
-	Peer             string   `arg:"--peer,required,env:POMELODOOR_PEER" help:"HTTP for other daemons"`
-	Control          string   `arg:"--control,required,env:POMELODOOR_CONTROL" help:"jsonrpc2 for other daemons"`
-	Admin            string   `arg:"--admin,required,env:POMELODOOR_ADMIN" help:"HTTP for operators: /status and /debug/vars"`
-	Upstream         string   `arg:"--upstream,required,env:POMELODOOR_UPSTREAM" help:"HTTP of the upstream beside this daemon"`
-	Platform         []string `arg:"--platform,required,env:POMELODOOR_PLATFORM" help:"the platform's service; several are tried in turn"`
+	Listen           string   `arg:"--listen,required,env:POMELODOOR_LISTEN" help:"IP:PORT of HTTP for callers"`
+	Peer             string   `arg:"--peer,required,env:POMELODOOR_PEER" help:"IP:PORT of HTTP for other daemons"`
+	Control          string   `arg:"--control,required,env:POMELODOOR_CONTROL" help:"IP:PORT of jsonrpc2 for other daemons"`
+	Admin            string   `arg:"--admin,required,env:POMELODOOR_ADMIN" help:"IP:PORT of HTTP for operators: /status and /debug/vars"`
+	Upstream         string   `arg:"--upstream,required,env:POMELODOOR_UPSTREAM" help:"IP:PORT of the upstream beside this daemon"`
+	Platform         []string `arg:"--platform,required,env:POMELODOOR_PLATFORM" help:"IP:PORT of the platform's service; several are tried in turn"`
 	FleetSize        int      `arg:"--fleet-size,env:POMELODOOR_FLEET_SIZE" default:"3000" placeholder:"N" help:"most instances that may start at once; the platform is read accordingly seldom until the list is known"`
 	LogLevel         string   `arg:"--log-level,env:POMELODOOR_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 	LogFormat        string   `arg:"--log-format,env:POMELODOOR_LOG_FORMAT" default:"text" placeholder:"FORMAT" help:"text or json"`
