standin: work counts as new by its arrival; a refused connection is notRun

shutdown_under_upload found two faults of the stand-ins. A worker noted the start of an upload when its body was complete, so one that had been on its way for 4 s before a shutdown counted as new work after it; the check now goes by arrival. Requests lost on open connections are unknown as before.

--- a/standin/caller.go
+++ b/standin/caller.go
@@ -38,8 +38,9 @@
 )
 
 // Resend says how often and how soon a request is sent again. A request that
-// is told notRun goes out again; one whose outcome is unknown only if it is
-// idempotent or has a key. Each time it goes to the next target.
+// is told notRun, or found no connection, goes out again; one whose outcome is
+// unknown only if it is idempotent or has a key. Each time it goes to the next
+// target.
 type Resend struct {
 	Max  int
 	Wait time.Duration
@@ -198,7 +199,7 @@
 	err := c.client(target).DoTimeout(req, resp, r.wait())
 	x.EndUs = time.Now().UnixMicro()
 	if err != nil {
-		x.Verdict, x.Fault = Lost, err.Error()
+		x.lost(err)
 		return x
 	}
 	x.judge(r, resp, c.cfg.Direct)
@@ -227,6 +228,8 @@
 		return false
 	case x.Outcome == call.NotRun:
 		return x.Status == fasthttp.StatusServiceUnavailable
+	case x.NotSent:
+		return true
 	}
 	return r.Idempotent() || r.Key != ""
 }
--- a/standin/exchange.go
+++ b/standin/exchange.go
@@ -34,21 +34,24 @@
 // Exchange is one sending of a request and what came back. Times are
 // microseconds of Unix time.
 type Exchange struct {
-	Token      string       `json:"token"`
-	Send       int          `json:"send"`
-	Key        string       `json:"key,omitempty"`
-	Method     string       `json:"method"`
-	Target     string       `json:"target"`
-	Call       string       `json:"call,omitempty"`
-	Worker     string       `json:"worker,omitempty"`
-	Status     int          `json:"status"`
-	Outcome    call.Outcome `json:"outcome,omitempty"`
-	Reason     call.Reason  `json:"reason,omitempty"`
-	Verdict    Verdict      `json:"verdict"`
-	Fault      string       `json:"fault,omitempty"`
-	IntendedUs int64        `json:"intendedUs"`
-	StartUs    int64        `json:"startUs"`
-	EndUs      int64        `json:"endUs"`
+	Token   string       `json:"token"`
+	Send    int          `json:"send"`
+	Key     string       `json:"key,omitempty"`
+	Method  string       `json:"method"`
+	Target  string       `json:"target"`
+	Call    string       `json:"call,omitempty"`
+	Worker  string       `json:"worker,omitempty"`
+	Status  int          `json:"status"`
+	Outcome call.Outcome `json:"outcome,omitempty"`
+	Reason  call.Reason  `json:"reason,omitempty"`
+	Verdict Verdict      `json:"verdict"`
+	Fault   string       `json:"fault,omitempty"`
+	// NotSent is true when no connection could be opened, so that no byte left
+	// the caller.
+	NotSent    bool  `json:"notSent,omitempty"`
+	IntendedUs int64 `json:"intendedUs"`
+	StartUs    int64 `json:"startUs"`
+	EndUs      int64 `json:"endUs"`
 	// HeldUs is how long the worker had the request.
 	HeldUs int64 `json:"heldUs,omitempty"`
 }
@@ -58,6 +61,12 @@
 	return Request{Method: x.Method}.Idempotent()
 }
 
+// lost fills in that there was no answer.
+func (x *Exchange) lost(err error) {
+	var dial *fasthttp.ErrDialWithUpstream
+	x.Verdict, x.Fault, x.NotSent = Lost, err.Error(), errors.As(err, &dial)
+}
+
 // judge fills in the answer and the verdict on it. direct is true when the
 // caller spoke to a worker, which sends no outcome.
 func (x *Exchange) judge(r Request, resp *fasthttp.Response, direct bool) {
--- a/standin/execution.go
+++ b/standin/execution.go
@@ -9,7 +9,8 @@
 const maxExecutions = 1_000_000
 
 // Execution is one request as a worker saw it. Times are microseconds of Unix
-// time.
+// time: a request has arrived when its headers have, and starts when its whole
+// body is there and it has a slot.
 type Execution struct {
 	Worker  string `json:"worker"`
 	Call    string `json:"call,omitempty"`
@@ -21,8 +22,10 @@
 	BodySum string `json:"bodySum"`
 	Bytes   int64  `json:"bytes"`
 	Status  int    `json:"status"`
-	StartUs int64  `json:"startUs"`
-	EndUs   int64  `json:"endUs,omitempty"`
+	// ArrivedUs is never after StartUs.
+	ArrivedUs int64 `json:"arrivedUs"`
+	StartUs   int64 `json:"startUs"`
+	EndUs     int64 `json:"endUs,omitempty"`
 	// Short is true when the body was cut short; such a request does not run.
 	Short bool `json:"short,omitempty"`
 	// Crashed is true when the request took the worker down.
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -86,6 +86,7 @@
 	arrived := time.Now()
 	e := w.receive(ctx)
 	defer w.cfg.Ended(e.Token)
+	e.StartUs = e.ArrivedUs
 	if e.Short {
 		w.record.end(w.record.start(e), fasthttp.StatusBadRequest, false, time.Now())
 		ctx.Error("body cut short", fasthttp.StatusBadRequest)
@@ -126,14 +127,14 @@
 func (w *Worker) receive(ctx *fasthttp.RequestCtx) Execution {
 	h := &ctx.Request.Header
 	e := Execution{
-		Worker:  w.cfg.ID,
-		Call:    string(h.Peek(call.HeaderCall)),
-		Key:     string(h.Peek(call.HeaderKey)),
-		Token:   string(h.Peek(headerToken)),
-		Send:    string(h.Peek(headerSend)),
-		Attempt: string(h.Peek(call.HeaderAttempt)),
-		Method:  string(ctx.Method()),
-		StartUs: time.Now().UnixMicro(),
+		Worker:    w.cfg.ID,
+		Call:      string(h.Peek(call.HeaderCall)),
+		Key:       string(h.Peek(call.HeaderKey)),
+		Token:     string(h.Peek(headerToken)),
+		Send:      string(h.Peek(headerSend)),
+		Attempt:   string(h.Peek(call.HeaderAttempt)),
+		Method:    string(ctx.Method()),
+		ArrivedUs: time.Now().UnixMicro(),
 	}
 	sum := xxhash.New()
 	if body := ctx.RequestBodyStream(); body != nil {
