once: instances beyond the group of homes send no heartbeats

Cause: Audience named the group to every daemon of a service, so that in one of 16 instances all 16 had a vote and told each other, past the bound of 7. An instance that falls out of the group goes on until no key that it decided on is alive.

--- a/once/book.go
+++ b/once/book.go
@@ -257,6 +257,7 @@
 	if now.Sub(b.swept) >= b.config.Lease {
 		b.swept = now
 		b.records.sweep(now)
+		b.placeSelf(now)
 		b.forget(now)
 		b.renewLease(now)
 	}
--- a/once/heartbeat.go
+++ b/once/heartbeat.go
@@ -182,8 +182,12 @@
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // Audience returns the instances to which Heartbeat is due: the group as the
-// list has it, and all others that may still run.
+// list has it, and all others that may still run. There are none for a Book
+// outside the group.
 func (b *Book) Audience() []string {
+	if b.peers.outside {
+		return nil
+	}
 	var ids []string
 	for id := range b.peers.listed {
 		ids = append(ids, id)
--- a/once/peers.go
+++ b/once/peers.go
@@ -43,6 +43,10 @@
 	viewed bool
 	// selfListed is true if that view has this Book's instance as live.
 	selfListed bool
+	// lastListed is when it last was so; outside is true if that is so long ago,
+	// or never, that this Book can be no home of a live key.
+	lastListed time.Time
+	outside    bool
 	// informed is true once every incarnation is known that may have let a key
 	// run at horizon or later.
 	informed bool
@@ -69,9 +73,20 @@
 			b.peers.listed[m.ID] = true
 		}
 	}
+	b.placeSelf(now)
 	b.renewLease(now)
 }
 
+// placeSelf finds out whether this Book belongs to the group. One that has
+// fallen out of it still answers for the keys that it decided on.
+func (b *Book) placeSelf(now time.Time) {
+	if b.peers.selfListed {
+		b.peers.lastListed = now
+	}
+	last := b.peers.lastListed
+	b.peers.outside = last.IsZero() || now.Sub(last) > b.config.keep()+b.config.silence()
+}
+
 // meet returns the peer for an incarnation, new if need be. What ran before it
 // was known ran without minding it.
 func (b *Book) meet(inc Incarnation, now time.Time) *peer {
--- a/once/retire_test.go
+++ b/once/retire_test.go
@@ -114,3 +114,36 @@
 		})
 	}
 }
+
+// TestLargeService checks that the instances of a service beyond its group send
+// no heartbeats and have no vote, and that one that falls out of the group
+// stops in the end.
+func TestLargeService(t *testing.T) {
+	w := newWorld(1, 16)
+	w.loss, w.hostile = 0, false
+	w.steps(4 * time.Minute) // the first to start were the group at first
+	voters, senders := 0, 0
+	for _, n := range w.nodes {
+		voters = max(voters, n.book.electorate())
+		if len(n.book.Audience()) > 0 {
+			senders++
+		}
+	}
+	if voters > GroupSize+1 || senders != GroupSize {
+		t.Fatalf("%d voters, %d senders", voters, senders)
+	}
+	w.grow(16) // newcomers displace some of the group
+	w.steps(4 * time.Minute)
+	senders = 0
+	for _, n := range w.nodes {
+		if n.book.mayDecide(n.clock(w.now)) && n.book.electorate() != GroupSize {
+			t.Errorf("%v counts %d voters", n.self, n.book.electorate())
+		}
+		if len(n.book.Audience()) > 0 {
+			senders++
+		}
+	}
+	if senders != GroupSize {
+		t.Errorf("%d senders after the change", senders)
+	}
+}
