balance: compare two of each side, not four

Cause: with six upstreams all were compared, and 300 daemons still swing together when reports are 500 ms old.

Change: Choices is 2: two draws in the own availability zone and two outside.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -5,7 +5,7 @@
 const (
 	// defaultChoices is how many candidates of the own availability zone, and
 	// as many of the others, are compared.
-	defaultChoices = 4
+	defaultChoices = 2
 	// drawsPerChoice bounds the draws that look for them.
 	drawsPerChoice = 6
 	// defaultSlots stands for the slots of an upstream that reports none.
@@ -28,7 +28,7 @@
 	// Rand draws uniform random numbers.
 	Rand func() uint64
 	// Choices is the number of candidates compared, in the own availability
-	// zone and outside it; 0 means 4.
+	// zone and outside it; 0 means 2.
 	Choices int
 	// Ramp is how long a new upstream's share grows; 0 means 10 s.
 	Ramp time.Duration
--- a/balance/table_test.go
+++ b/balance/table_test.go
@@ -16,6 +16,7 @@
 	tableSeeds   = flag.Int("seeds", 3, "rounds of the table")
 	tableNames   = flag.String("policies", "", "only the policies that this text holds")
 	tableSize    = flag.String("size", "Zeigerwerk", "size of the service: Zeigerwerk, Brightfield or many")
+	tableChoices = flag.Int("choices", 0, "candidates compared; 0 means as in use")
 	tableReports = flag.Duration("reports", 50*time.Millisecond, "time between a worker's reports to all")
 	tableCases   = flag.String("cases", "", "only the cases that hold this text")
 )
@@ -135,7 +136,7 @@
 		wait.Go(func() {
 			sc := sc
 			sc.seed = uint64(i + 1)
-			runs[i] = simulate(sc, choose, Config{})
+			runs[i] = simulate(sc, choose, Config{Choices: *tableChoices})
 		})
 	}
 	wait.Wait()
