Tell of a key what its book allows; believe a crash only after a second look

Cause: once.Finish may turn notRun into unknown, for a home that was paused or cut off meanwhile, and the node ignored what it returns. The correction now reaches the answer.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,11 +141,12 @@
 }
 
 // update gives the node one message and carries out what it commands.
-func (d *Daemon) update(m node.Message) {
+func (d *Daemon) update(m node.Message) []node.Command {
 	d.mu.Lock()
 	commands := d.node.Update(m, time.Now())
 	d.mu.Unlock()
 	d.execute(commands)
+	return commands
 }
 
 // Shutdown refuses new work, lets what is under way end, and closes the ports.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -15,8 +15,13 @@
 	"pomelodoor.example/pomelodoor/node"
 )
 
-// crashCheck bounds the connection that tells whether the upstream is up.
-const crashCheck = 200 * time.Millisecond
+const (
+	// crashCheck bounds a connection that tells whether the upstream is up, of
+	// which there are crashChecks with crashPause after each.
+	crashCheck  = 200 * time.Millisecond
+	crashChecks = 3
+	crashPause  = 10 * time.Millisecond
+)
 
 // servePeer takes a request that another daemon has forwarded.
 func (d *Daemon) servePeer(ctx *fasthttp.RequestCtx) {
@@ -169,7 +174,7 @@
 	}
 	d.metrics.handedOn.Add(1)
 	d.runs.remove(h.ID)
-	d.update(end)
+	a.result.Outcome = settled(d.update(end), h.ID, a.result.Outcome)
 	if a.response == nil {
 		cancel()
 	}
@@ -198,8 +203,8 @@
 	start := time.Now()
 	if !r.Before.IsZero() && !start.Before(r.Before) {
 		cancel()
-		d.ended(node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
-		return &answer{result: node.Attempt{Outcome: call.NotRun, Reason: call.Stale}}
+		outcome := d.ended(node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
+		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Stale}}
 	}
 	ingress.WriteOnward(&req.Header, request, start)
 	resp := fasthttp.AcquireResponse()
@@ -213,7 +218,7 @@
 		}
 		cancel()
 		fasthttp.ReleaseResponse(resp)
-		d.ended(node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
+		outcome = d.ended(node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
 		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
 	}
 	end := node.RunEnded{ID: request.ID, Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode()}
@@ -236,19 +241,33 @@
 }
 
 // upstreamGone reports whether the upstream no longer takes connections, which
-// tells a crash from one connection that broke.
+// tells a crash from one connection that broke. A process that dies may lose its
+// connections a little before its listener, so one success is not believed.
 func (d *Daemon) upstreamGone() bool {
-	c, err := net.DialTimeout("tcp", d.settings.Upstream, crashCheck)
-	if err != nil {
-		return true
+	for range crashChecks {
+		c, err := net.DialTimeout("tcp", d.settings.Upstream, crashCheck)
+		if err != nil {
+			return true
+		}
+		_ = c.Close()
+		time.Sleep(crashPause)
 	}
-	_ = c.Close()
 	return false
 }
 
-// ended tells the node of a run's end. The mailbox closes first: nothing more
-// can come for this request.
-func (d *Daemon) ended(m node.RunEnded) {
+// ended tells the node of a run's end, and returns what may be told of it. The
+// mailbox closes first: nothing more can come for this request.
+func (d *Daemon) ended(m node.RunEnded) call.Outcome {
 	d.runs.remove(m.ID)
-	d.update(m)
+	return settled(d.update(m), m.ID, m.Outcome)
+}
+
+// settled returns the outcome that the node puts in place of another, or that.
+func settled(commands []node.Command, id string, outcome call.Outcome) call.Outcome {
+	for _, c := range commands {
+		if s, ok := c.(node.Settled); ok && s.ID == id {
+			return s.Outcome
+		}
+	}
+	return outcome
 }
--- a/node/admission.go
+++ b/node/admission.go
@@ -71,9 +71,7 @@
 // back, so that a resend may run.
 func (n *Node) refuse(run *runState, outcome call.Outcome, reason call.Reason, now time.Time) Command {
 	delete(n.runs, run.request.ID)
-	if run.granted {
-		n.settle(run, RunEnded{Outcome: outcome, Reason: reason}, now)
-	}
+	outcome = n.settle(run, RunEnded{Outcome: outcome, Reason: reason}, now)
 	return Refuse{ID: run.request.ID, Outcome: outcome, Reason: reason}
 }
 
@@ -145,8 +143,8 @@
 		return nil
 	}
 	delete(n.runs, m.ID)
-	n.settle(run, m, now)
-	out := n.endTrial(run, m, now)
+	out := n.settleEnded(run, m, now)
+	out = append(out, n.endTrial(run, m, now)...)
 	failed := m.Outcome != call.Run || faulty(m.Status)
 	n.own.Observe(m.Latency, failed, now)
 	service := m.Latency
--- a/node/command.go
+++ b/node/command.go
@@ -80,6 +80,13 @@
 	Request     call.Request
 }
 
+// Settled corrects the outcome of a run or of a HandOn that has just ended. A
+// home that was paused or cut off may no longer say notRun of a key.
+type Settled struct {
+	ID      string
+	Outcome call.Outcome
+}
+
 // CancelRun ends a Run whose answer nobody waits for.
 type CancelRun struct {
 	ID string
@@ -120,6 +127,7 @@
 func (Run) command()           {}
 func (Refuse) command()        {}
 func (HandOn) command()        {}
+func (Settled) command()       {}
 func (CancelRun) command()     {}
 func (Probe) command()         {}
 func (CancelProbe) command()   {}
--- a/node/handon.go
+++ b/node/handon.go
@@ -59,11 +59,11 @@
 		return nil
 	}
 	delete(n.runs, m.ID)
-	n.settle(run, RunEnded{ID: m.ID, Outcome: m.Result.Outcome, Status: m.Result.Status, Body: m.Body}, now)
+	out := n.settleEnded(run, RunEnded{ID: m.ID, Outcome: m.Result.Outcome, Status: m.Result.Status, Body: m.Body}, now)
 	if service, ok := n.config.Service(run.request.Service); ok {
 		n.learnFrom(n.picker(service), run.handedTo, m.Result, now)
 	}
-	return nil
+	return out
 }
 
 // homeMayRun reports whether the selectors let this daemon's own upstream run
--- a/node/home.go
+++ b/node/home.go
@@ -99,16 +99,26 @@
 	return r
 }
 
-// settle tells the book how the run of a key ended.
-func (n *Node) settle(run *runState, m RunEnded, now time.Time) {
+// settle tells the book how the run of a key ended, and returns what may be told
+// of it.
+func (n *Node) settle(run *runState, m RunEnded, now time.Time) call.Outcome {
 	if !run.granted {
-		return
+		return m.Outcome
 	}
 	answer := once.Answer{Outcome: m.Outcome, Status: m.Status}
 	if m.Outcome == call.Run && m.Body != nil {
 		answer.Body, answer.Whole = slices.Clone(m.Body), true
 	}
-	n.book.Finish(run.request.Key, m.Outcome, answer, now)
+	return n.book.Finish(run.request.Key, m.Outcome, answer, now)
+}
+
+// settleEnded is settle for a request whose end the wiring already knows.
+func (n *Node) settleEnded(run *runState, m RunEnded, now time.Time) []Command {
+	outcome := n.settle(run, m, now)
+	if outcome == m.Outcome {
+		return nil
+	}
+	return []Command{Settled{ID: m.ID, Outcome: outcome}}
 }
 
 // keepBook does what is due for keys by time alone.
