--- a/balance/table_test.go
+++ b/balance/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -158,14 +159,14 @@
 	ms := func(d time.Duration) string { return fmt.Sprintf("%.1f", d.Seconds()*1e3) }
 	fmt.Println("| case | load | lag ms | policy | p50 ms | p99 ms | p99.9 ms | x oracle | bad % | cross % |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|")
-	for _, fault := range sorted(faults) {
+	for _, fault := range slices.Sorted(maps.Keys(faults)) {
 		if !strings.Contains(fault, *tableCases) {
 			continue
 		}
 		for _, load := range loads {
 			for _, lag := range lags {
 				var best figures
-				for _, name := range sorted(policies) {
+				for _, name := range slices.Sorted(maps.Keys(policies)) {
 					if *tableNames != "" && !strings.Contains(*tableNames, name[2:]) {
 						continue
 					}
@@ -184,18 +185,9 @@
 func quick(t *testing.T, sc scenario) {
 	sc.seed = 1
 	picker := simulate(sc, policies["2 picker"], Config{})
-	for _, name := range sorted(policies) {
+	for _, name := range slices.Sorted(maps.Keys(policies)) {
 		if other := simulate(sc, policies[name], Config{}); name > "2 picker" && picker.p99 >= other.p99 {
 			t.Errorf("picker %v, %s %v", picker, name, other)
 		}
 	}
 }
-
-func sorted[V any](m map[string]V) []string {
-	var names []string
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
