A request that ran is never told notRun for a later attempt; hedges' losers count for nothing

The failed answer is kept and delivered now. A cancelled hedge counted as a failure of its upstream, at both ends, with its latency as 0. It shows nothing of the upstream now.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -106,6 +106,7 @@
 			if errors.Is(c.waiting.Err(), context.Canceled) {
 				c.d.update(node.CallerLeft{ID: c.request.ID})
 				c.attempts.Wait()
+				c.drop(0)
 				done()
 				ingress.Refuse(c.ctx, call.Unknown, call.Cancelled, "the caller has gone")
 				return call.Unknown, call.Cancelled
@@ -123,6 +124,7 @@
 		c.cancel(command.Number)
 	case node.Answer:
 		c.attempts.Wait()
+		c.drop(0)
 		done()
 		ingress.Refuse(c.ctx, command.Outcome, command.Reason, explain(command.Reason))
 		c.ctx.Response.Header.Set(call.HeaderCall, c.request.ID)
@@ -182,12 +184,7 @@
 	}
 	c.mu.Unlock()
 	c.attempts.Wait()
-	for n, other := range c.open {
-		if n != number {
-			other.answer.drop()
-			other.cancel()
-		}
-	}
+	c.drop(number)
 	a := chosen.answer
 	ingress.Pass(c.ctx, a.response, func() {
 		a.finish()
@@ -199,6 +196,16 @@
 	return a.result.Outcome, a.result.Reason
 }
 
+// drop lets go of every answer but that of one attempt. All attempts have ended.
+func (c *callerCall) drop(but int) {
+	for number, out := range c.open {
+		if number != but {
+			out.answer.drop()
+			out.cancel()
+		}
+	}
+}
+
 // explain puts a reason into a sentence.
 func explain(reason call.Reason) string {
 	if text := reasonTexts[reason]; text != "" {
--- a/membership/overlay.go
+++ b/membership/overlay.go
@@ -90,11 +90,18 @@
 func (v *View) ZoneCount() int { return v.refresh().zones }
 
 // Reader reports whether this daemon is among the perZone instances of its
-// zone that read the platform, by rendezvous hashing on the live instances.
+// zone that read the platform, by rendezvous hashing on the live instances. In a
+// small fleet in which every instance is leaving, all read.
 func (v *View) Reader(perZone int) bool {
-	return v.Self().State == Live && v.refresh().rank < perZone
+	if v.Self().State != Live {
+		return v.LiveCount() == 0 && v.PeerCount() < maxLeavingReaders
+	}
+	return v.refresh().rank < perZone
 }
 
+// maxLeavingReaders bounds the daemons that read because nobody is live.
+const maxLeavingReaders = 64
+
 // Siblings returns at most k other live instances of this daemon's service,
 // by rendezvous hashing, so that large services stay cheap.
 func (v *View) Siblings(k int) []Record {
--- a/node/admission.go
+++ b/node/admission.go
@@ -146,11 +146,14 @@
 	out := n.settleEnded(run, m, now)
 	out = append(out, n.endTrial(run, m, now)...)
 	failed := m.Outcome != call.Run || faulty(m.Status)
-	n.own.Observe(m.Latency, failed, now)
 	service := m.Latency
 	if failed {
 		service = 0
 	}
+	if m.Reason != call.Cancelled {
+		// What the caller cancelled shows nothing of the upstream.
+		n.own.Observe(m.Latency, failed, now)
+	}
 	return append(out, n.admit(n.gate.Finish(m.ID, service, now), now)...)
 }
 
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -24,6 +24,9 @@
 	open []attempt
 	// crashed is set once an upstream has crashed under an attempt.
 	crashed bool
+	// faulty is the number of the last attempt whose answer showed a fault of its
+	// upstream, or 0. That answer is delivered when no better one comes.
+	faulty int
 	// unknown is set once an attempt may have run without an answer.
 	unknown   bool
 	bodyTaken bool
@@ -34,6 +37,7 @@
 	number int
 	target string
 	zone   string
+	began  time.Time
 }
 
 // callerRequest finds the service and the selector, and makes the first
@@ -100,7 +104,7 @@
 	}
 	c.made++
 	c.tried = append(c.tried, target)
-	c.open = append(c.open, attempt{number: c.made, target: target, zone: record.AvailabilityZone})
+	c.open = append(c.open, attempt{number: c.made, target: target, zone: record.AvailabilityZone, began: now})
 	n.picker(c.service).Started(target, now)
 	onward := c.request
 	onward.ID = c.request.ID + "-" + strconv.Itoa(c.made)
@@ -142,6 +146,9 @@
 		n.policy(c.service, now).Answered(m.Result.Latency)
 		return n.deliver(c, m.Number, now)
 	}
+	if failed {
+		c.faulty = m.Number
+	}
 	if len(c.open) > 0 {
 		// The other attempt may still bring a good answer.
 		return nil
@@ -149,8 +156,8 @@
 	if out, ok := n.again(c, m.Result, failed, now); ok {
 		return out
 	}
-	if failed {
-		return n.deliver(c, m.Number, now)
+	if c.faulty > 0 {
+		return n.deliver(c, c.faulty, now)
 	}
 	return n.giveUp(c, m.Result.Outcome, m.Result.Reason)
 }
@@ -257,7 +264,7 @@
 	var out []Command
 	for _, a := range c.open {
 		out = append(out, CancelForward{ID: c.request.ID, Number: a.number})
-		n.picker(c.service).Finished(a.target, balance.Result{Cancelled: true}, now)
+		n.picker(c.service).Finished(a.target, balance.Result{Cancelled: true, Latency: now.Sub(a.began)}, now)
 	}
 	return out
 }
--- a/node/schedule_test.go
+++ b/node/schedule_test.go
@@ -270,7 +270,9 @@
 // newOrder lets a caller send a new order, with a key of some kind or none.
 func (w *world) newOrder() {
 	o := &order{token: fmt.Sprintf("o%d", len(w.orders)), kind: "none"}
-	switch w.rand.IntN(4) {
+	switch w.rand.IntN(5) {
+	case 4:
+		o.kind = "lookup"
 	case 0:
 		o.kind, o.key = "opaque", "opaque-"+o.token
 	case 1:
@@ -314,8 +316,12 @@
 func (w *world) send(o *order) {
 	s := &send{id: fmt.Sprintf("%s.%d", o.token, len(o.sends))}
 	o.sends = append(o.sends, s)
+	method := "POST"
+	if o.kind == "lookup" {
+		method = "GET"
+	}
 	w.update(w.nodes[w.rand.IntN(instances)], node.CallerRequest{Request: call.Request{
-		ID: s.id, Service: "faults", Caller: "dispatch", Method: "POST", Key: o.key,
+		ID: s.id, Service: "faults", Caller: "dispatch", Method: method, Key: o.key,
 		Fingerprint: uint64(len(o.token)), Replayable: true, Deadline: w.now.Add(3 * time.Second),
 	}})
 }
@@ -386,7 +392,7 @@
 				w.fault("%s with key %q was told notRun, but ran", s.id, o.key)
 			}
 		}
-		if runs > 1 {
+		if runs > 1 && o.kind != "lookup" {
 			w.fault("%s with key %q ran %d times", o.token, o.key, runs)
 		}
 	}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -56,7 +56,8 @@
 // order is what one caller wants to run at most once.
 type order struct {
 	token string
-	// kind is none, issued, timed or opaque.
+	// kind is that of the key, none, issued, timed or opaque; or lookup for a
+	// request that may run often.
 	kind  string
 	key   string
 	sends []*send
@@ -332,7 +333,11 @@
 	if !m.leftAt.IsZero() && w.now.Sub(m.leftAt) > leaveLimit {
 		w.fault("%s started %s %v after it began to leave", m.id, r.ID, w.now.Sub(m.leftAt))
 	}
-	w.finish(m, r.ID, node.RunEnded{ID: r.ID, Outcome: call.Run, Status: 200, Body: []byte("done")},
+	status := 200
+	if w.rand.IntN(10) == 0 {
+		status = 500
+	}
+	w.finish(m, r.ID, node.RunEnded{ID: r.ID, Outcome: call.Run, Status: status, Body: []byte("done")},
 		time.Duration(w.rand.IntN(300))*time.Millisecond)
 }
 
