balance: zones are compared by what is expected; cut links are given up after 250 ms

Cause: the draw that keeps many daemons from choosing alike also decided between zones, so half-full upstreams in the own zone looked full and calls left it. The draw now decides within a side, and the border by the expected cost. A connection to a daemon that is cut off took up to 1 s to fail, a whole deadline.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -30,9 +30,23 @@
 
 // cost returns the time in nanoseconds that a call to u is expected to take,
 // without the link.
-func (p *Picker) cost(u *upstream, now time.Time) float64 {
+func (p *Picker) cost(u *upstream, now time.Time) (drawn, mean float64) {
+	return p.costOf(u, p.guess(u.calls()), now), p.costOf(u, u.expected(now), now)
+}
+
+// expected is the last report as far as it is fresh, and the usual number.
+func (u *upstream) expected(now time.Time) float64 {
+	if u.measured.IsZero() {
+		return float64(len(u.started))
+	}
+	trust := fade(now.Sub(u.measured), 100*time.Millisecond)
+	reported := float64(u.load.InFlight+u.load.Queued) + float64(u.startedSince(u.measured))
+	return max(float64(len(u.started)), trust*reported+(1-trust)*u.usual)
+}
+
+func (p *Picker) costOf(u *upstream, calls float64, now time.Time) float64 {
 	service := p.service(u, now)
-	cost := service + wait(p.guess(u.calls()), u.load.Slots, service)
+	cost := service + wait(calls, u.load.Slots, service)
 	if oldest := u.oldest(); !oldest.IsZero() {
 		cost = max(cost, float64(now.Sub(oldest))/overdueFactor)
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -21,12 +21,13 @@
 	index int
 	grade grade
 	cost  float64
+	mean  float64 // cost by what is expected, without the draw
 }
 
 // take keeps the better of c and a new candidate.
-func (c *choice) take(index int, g grade, cost float64) {
+func (c *choice) take(index int, g grade, cost, mean float64) {
 	if g > c.grade || (g == c.grade && g != never && cost < c.cost) {
-		*c = choice{index: index, grade: g, cost: cost}
+		*c = choice{index: index, grade: g, cost: cost, mean: mean}
 	}
 }
 
@@ -96,15 +97,15 @@
 	if g == never {
 		return
 	}
-	cost := p.cost(u, k.now)
+	cost, mean := p.cost(u, k.now)
 	if candidate.Zone == p.config.SelfZone {
-		k.local.take(i, g, cost)
+		k.local.take(i, g, cost, mean)
 		return
 	}
 	// Trials are left to the daemons of that zone, unless a call goes there
 	// anyway.
-	cost += float64(p.config.LinkCost(candidate.Zone))
-	k.remote.take(i, min(g, usable), cost)
+	link := float64(p.config.LinkCost(candidate.Zone))
+	k.remote.take(i, min(g, usable), cost+link, mean+link)
 }
 
 // known returns what is known about a candidate, and starts afresh when it is
@@ -174,7 +175,7 @@
 		return remote.index, remote.grade != never
 	case remote.grade > local.grade:
 		return remote.index, true
-	case remote.grade < local.grade || !k.options.SpillOver || local.cost <= remote.cost:
+	case remote.grade < local.grade || !k.options.SpillOver || local.mean <= remote.mean:
 		return local.index, true
 	}
 	return remote.index, true
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -125,3 +125,13 @@
 	return (u.load.State == Draining || u.load.State == Down) &&
 		now.Sub(u.measured) < drainLife
 }
+
+// startedSince counts the outstanding calls that a report of time at does not
+// hold.
+func (u *upstream) startedSince(at time.Time) int {
+	n := 0
+	for i := len(u.started) - 1; i >= 0 && u.started[i].After(at); i-- {
+		n++
+	}
+	return n
+}
--- a/daemon/pools.go
+++ b/daemon/pools.go
@@ -4,12 +4,17 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"pomelodoor.example/pomelodoor/exchange"
 )
 
-// peerConns bounds the connections to one other daemon.
-const peerConns = 256
+// peerConns bounds the connections to one other daemon, peerDial the opening of
+// one: a call whose daemon is cut off must have time left for another.
+const (
+	peerConns = 256
+	peerDial  = 250 * time.Millisecond
+)
 
 // pools holds the connections to other daemons, by address.
 type pools struct {
@@ -28,7 +33,9 @@
 	defer p.mu.Unlock()
 	pool := p.byAddress[address]
 	if pool == nil {
-		pool = exchange.New(exchange.Config{Address: address, MaxConns: peerConns, Dial: p.dial})
+		pool = exchange.New(exchange.Config{
+			Address: address, MaxConns: peerConns, DialTimeout: peerDial, Dial: p.dial,
+		})
 		p.byAddress[address] = pool
 	}
 	return pool
