--- a/cmd/standin/documents.go
+++ b/cmd/standin/documents.go
@@ -6,7 +6,7 @@
 const switchesDocument = `{
   "kind": "switches",
   "revision": 1,
-  "allow": ["retry", "hedge", "eject", "spillOver", "handOn", "shed",
+  "allow": ["retry", "eject", "spillOver", "handOn", "shed",
     "slowStart", "quarantine", "loadAware", "probe"]
 }`
 
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -61,9 +61,18 @@
 	}
 	d.update(node.CallerRequest{Request: request})
 	outcome, reason := c.serve(done)
+	d.endIfLeaving(ctx)
 	d.record(request.Service, outcome, reason, ctx.Response.StatusCode(), time.Since(now))
 }
 
+// endIfLeaving lets the connection end with this answer if the daemon is
+// shutting down.
+func (d *Daemon) endIfLeaving(ctx *fasthttp.RequestCtx) {
+	if d.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
 // readCaller parses a request and holds its body if that is short.
 func (d *Daemon) readCaller(ctx *fasthttp.RequestCtx, now time.Time) (call.Request, *ingress.Body, error) {
 	request, err := ingress.ParseCaller(ctx, now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -72,6 +73,10 @@
 	burnMu  sync.Mutex
 	burn    *burn.Burn
 
+	// leaving has every answer end its connection, so that none is open and
+	// idle when the ports close: a request may arrive in that instant.
+	leaving atomic.Bool
+
 	probing *probing
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -154,6 +159,7 @@
 // cut off.
 func (d *Daemon) Shutdown() error {
 	d.part("daemon").Info("The daemon is shutting down.")
+	d.leaving.Store(true)
 	d.update(node.Shutdown{})
 	told := time.Now()
 	limit := told.Add(d.settings.maxStop())
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -61,6 +61,7 @@
 		ingress.SetOutcome(ctx, a.result.Outcome, a.result.Reason)
 	}
 	d.writeOwn(ctx, a, now)
+	d.endIfLeaving(ctx)
 }
 
 // writeOwn adds what only daemons tell each other.
--- a/scenario/expect_test.go
+++ b/scenario/expect_test.go
@@ -125,34 +125,26 @@
 }
 
 func expectReady(w *world, args []string) error {
-	id, err := arg(args, 0)
-	if err != nil {
-		return err
-	}
-	m, err := w.member(id)
+	m, err := w.memberArg(args)
 	if err != nil {
 		return err
 	}
 	if !m.daemon.Ready() {
-		return fmt.Errorf("%s is not ready: %w", id, errUnmet)
+		return fmt.Errorf("%s is not ready: %w", args[0], errUnmet)
 	}
 	return nil
 }
 
 func expectEnded(w *world, args []string) error {
-	id, err := arg(args, 0)
-	if err != nil {
-		return err
-	}
-	m, err := w.member(id)
+	m, err := w.memberArg(args)
 	if err != nil {
 		return err
 	}
 	if !ended(m.daemon) {
-		return fmt.Errorf("%s still runs: %w", id, errUnmet)
+		return fmt.Errorf("%s still runs: %w", args[0], errUnmet)
 	}
 	if m.daemon.Err() != nil {
-		return fmt.Errorf("%s ended with %s: %w", id, m.daemon.Ending(), errUnmet)
+		return fmt.Errorf("%s ended with %s: %w", args[0], m.daemon.Ending(), errUnmet)
 	}
 	return nil
 }
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -89,6 +89,15 @@
 	w.platform.Close()
 }
 
+// memberArg returns the member that the first argument names.
+func (w *world) memberArg(args []string) (*member, error) {
+	id, err := arg(args, 0)
+	if err != nil {
+		return nil, err
+	}
+	return w.member(id)
+}
+
 // member returns one instance by its id, or the one that issued a key by
 // home:NAME.
 func (w *world) member(id string) (*member, error) {
