--- a/node/schedule_test.go
+++ b/node/schedule_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	schedules = flag.Uint64("schedules", 300, "number of schedules")
+	schedules = flag.Uint64("schedules", 1000, "number of schedules")
 	traced    = flag.Bool("trace", false, "print what happens")
 	firstSeed = flag.Uint64("seed", 1, "seed of the first schedule")
 )
