--- a/ingress/gone.go
+++ b/ingress/gone.go
@@ -15,13 +15,19 @@
 type Watch struct {
 	mu      sync.Mutex
 	waiting map[net.Conn]context.CancelFunc
-	stop    chan struct{}
-	once    sync.Once
+	// wake tells that there is something to look at again.
+	wake chan struct{}
+	stop chan struct{}
+	once sync.Once
 }
 
 // NewWatch starts to watch.
 func NewWatch() *Watch {
-	w := &Watch{waiting: map[net.Conn]context.CancelFunc{}, stop: make(chan struct{})}
+	w := &Watch{
+		waiting: map[net.Conn]context.CancelFunc{},
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+	}
 	go w.run()
 	return w
 }
@@ -33,6 +39,10 @@
 	w.mu.Lock()
 	w.waiting[c] = cancel
 	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
 	return ctx, func() {
 		w.mu.Lock()
 		delete(w.waiting, c)
@@ -46,20 +56,27 @@
 	w.once.Do(func() { close(w.stop) })
 }
 
+// run looks while requests wait, and sleeps while none does.
 func (w *Watch) run() {
-	tick := time.NewTicker(goneEvery)
-	defer tick.Stop()
 	for {
 		select {
-		case <-tick.C:
-			w.look()
+		case <-w.wake:
 		case <-w.stop:
 			return
 		}
+		for waiting := true; waiting; waiting = w.look() {
+			select {
+			case <-time.After(goneEvery):
+			case <-w.stop:
+				return
+			}
+		}
 	}
 }
 
-func (w *Watch) look() {
+// look cancels the requests whose callers have gone, and reports whether any
+// others wait.
+func (w *Watch) look() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for c, cancel := range w.waiting {
@@ -68,4 +85,5 @@
 			cancel()
 		}
 	}
+	return len(w.waiting) > 0
 }
