platform: the list and the index in the words of those who take them

Cause: platform.Entry and platform.Key repeated membership.ListEntry and spread.KeyVersion field by field, and daemon copied one into the other. The client decodes into those now. Pool.Warm was called by nobody and is gone.

--- a/daemon/reader.go
+++ b/daemon/reader.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 
-	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/node"
-	"pomelodoor.example/pomelodoor/platform"
 	"pomelodoor.example/pomelodoor/spread"
 )
 
@@ -27,17 +25,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("watch the index: %w", err)
 		}
-		keys := make([]spread.KeyVersion, 0, len(index.Keys))
-		for _, k := range index.Keys {
-			keys = append(keys, spread.KeyVersion{Key: k.Key, Version: k.Version})
-		}
-		return node.IndexRead{Version: index.Version, Keys: keys}, nil
+		return node.IndexRead{Version: index.Version, Keys: index.Keys}, nil
 	case spread.ReadInstances:
 		list, err := d.platform.Instances(ctx, read.After, read.Wait)
 		if err != nil {
 			return nil, fmt.Errorf("watch the instances: %w", err)
 		}
-		return node.InstancesRead{Entries: entries(list.Instances), Version: list.Version}, nil
+		return node.InstancesRead{Entries: list.Instances, Version: list.Version}, nil
 	}
 	body, version, err := d.platform.Value(ctx, read.Key)
 	if err != nil {
@@ -45,18 +39,3 @@
 	}
 	return node.ValueRead{Key: read.Key, Version: version, Body: body}, nil
 }
-
-// entries puts the platform's words into membership's.
-func entries(list []platform.Entry) []membership.ListEntry {
-	out := make([]membership.ListEntry, 0, len(list))
-	for _, e := range list {
-		out = append(out, membership.ListEntry{
-			Instance: membership.Instance{
-				ID: e.ID, Service: e.Service, AvailabilityZone: e.AvailabilityZone,
-				Region: e.Region, Listen: e.Listen, Peer: e.Peer, Control: e.Control,
-			},
-			State: membership.State(e.State),
-		})
-	}
-	return out
-}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -70,19 +70,6 @@
 	return p.open
 }
 
-// Warm opens up to n idle connections, so that the next requests need not wait
-// for a handshake.
-func (p *Pool) Warm(ctx context.Context, n int) error {
-	for p.idleCount() < n {
-		c, err := p.dial(ctx)
-		if err != nil {
-			return fmt.Errorf("warm a connection: %w", err)
-		}
-		p.put(c)
-	}
-	return nil
-}
-
 // SetMaxConns changes the bound on open connections. Those beyond it close as
 // they fall idle.
 func (p *Pool) SetMaxConns(n int) {
@@ -113,12 +100,6 @@
 	}
 }
 
-func (p *Pool) idleCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle)
-}
-
 // get returns an idle connection that is still usable, or opens one.
 func (p *Pool) get(ctx context.Context) (*conn, error) {
 	for {
