daemon: a document's bound on connections is in force

Cause, found on reading the change once more: the pool's bound on connections to the upstream stayed at its first 64, whatever 'connections' a document stated; SetMaxConns had no caller. The bound is put in force every 5 s. Before: 80 calls at once with 100 slots and 100 connections allowed fail the new test; after: all are answered.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -246,6 +246,7 @@
 		select {
 		case <-ticker.C:
 			d.peers.sweep()
+			d.boundUpstream()
 			d.upstream.Sweep()
 		case <-d.ctx.Done():
 			return
@@ -253,6 +254,17 @@
 	}
 }
 
+// boundUpstream puts the document's bound on connections to the upstream in
+// force.
+func (d *Daemon) boundUpstream() {
+	d.mu.Lock()
+	bound, ok := d.node.Connections()
+	d.mu.Unlock()
+	if ok {
+		d.upstream.SetMaxConns(bound)
+	}
+}
+
 // part returns the log of one part, with its fixed prefix.
 func (d *Daemon) part(name string) *log.Logger {
 	return d.log.WithPrefix(name)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -361,6 +361,31 @@
 	}
 }
 
+// TestConnectionsAreThoseOfTheDocument needs more connections to the upstream
+// than a daemon opens before it has a document.
+func TestConnectionsAreThoseOfTheDocument(t *testing.T) {
+	t.Parallel()
+	const calls = 80
+	f := startFleet(t, 1)
+	check(t, f.platform.Publish("services/faults", []byte(strings.NewReplacer(
+		`"revision":1`, `"revision":2`, `"slots":12`, `"slots":100,"connections":100`).Replace(serviceDocument))))
+	await(t, f.admin[0], func(s node.Status) bool { return s.Configuration.Documents == 2 && s.Documents[0].Revision == 2 })
+	time.Sleep(6 * time.Second)
+	status := make(chan int, calls)
+	for range calls {
+		go func() {
+			got := 0
+			defer func() { status <- got }()
+			got = do(t, f.listen[0], func(req *fasthttp.Request) { req.Header.Set("X-Work-Us", "200000") }).StatusCode()
+		}()
+	}
+	for range calls {
+		if got := <-status; got != 200 {
+			t.Fatalf("a call got %d", got)
+		}
+	}
+}
+
 // FuzzCallers writes arbitrary bytes at the port for callers: other callers
 // must still be served.
 func FuzzCallers(f *testing.F) {
--- a/node/node.go
+++ b/node/node.go
@@ -254,6 +254,16 @@
 	return config.Level{}, false
 }
 
+// Connections returns how many connections to the own upstream are allowed, or
+// false when no document says so.
+func (n *Node) Connections() (int, bool) {
+	s, ok := n.config.Service(n.cfg.Self.Service)
+	if !ok {
+		return 0, false
+	}
+	return s.Limits().Connections(), true
+}
+
 // MaxBodyBytes returns the size of a service's longest request body.
 func (n *Node) MaxBodyBytes(service string) int64 {
 	if s, ok := n.config.Service(service); ok {
