--- a/balance/picker.go
+++ b/balance/picker.go
@@ -145,6 +145,15 @@
 	p.untrack(id)
 }
 
+// Retain forgets every upstream that keep does not want.
+func (p *Picker) Retain(keep func(id string) bool) {
+	for id := range p.upstreams {
+		if !keep(id) {
+			p.Forget(id)
+		}
+	}
+}
+
 // upstream returns what is known about id, making room for it if need be.
 func (p *Picker) upstream(id string) *upstream {
 	u, ok := p.upstreams[id]
--- a/call/header.go
+++ b/call/header.go
@@ -30,4 +30,7 @@
 	HeaderSpent       = "Pomelodoor-Spent-Us"
 	HeaderPriority    = "Pomelodoor-Priority"
 	HeaderFingerprint = "Pomelodoor-Fingerprint"
+	HeaderRepeat      = "Pomelodoor-Repeat"
+	HeaderUpstream    = "Pomelodoor-Upstream"
+	HeaderService     = "Pomelodoor-Service"
 )
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -37,6 +37,8 @@
 	Stale            Reason = "stale"
 	UnknownService   Reason = "unknownService"
 	UpstreamCrashed  Reason = "upstreamCrashed"
+	UpstreamReplaced Reason = "upstreamReplaced"
+	UpstreamShed     Reason = "upstreamShed"
 	WrongIncarnation Reason = "wrongIncarnation"
 )
 
--- a/call/request.go
+++ b/call/request.go
@@ -1,6 +1,9 @@
 package call
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Priority orders requests when an upstream has more than it can do.
 type Priority string
@@ -12,6 +15,9 @@
 	Low    Priority = "low"
 )
 
+// Ranked returns the priority of a route's rank, 0 being served first.
+func Ranked(rank int) Priority { return Priority(strconv.Itoa(rank)) }
+
 // Rank returns 0 for the priority that is served first, and more for the rest.
 func (p Priority) Rank() int {
 	switch p {
@@ -19,20 +25,47 @@
 		return 0
 	case Low:
 		return 2
+	case Normal, "":
+		return 1
 	}
-	return 1
+	rank, err := strconv.Atoi(string(p))
+	if err != nil {
+		return 1
+	}
+	return rank
 }
 
+// Repeat says whether a request may run more than once.
+type Repeat string
+
+// The kinds of repetition. The zero value leaves it to the method.
+const (
+	ByMethod Repeat = ""
+	Safe     Repeat = "safe"
+	Unsafe   Repeat = "unsafe"
+)
+
 // Request describes one request without its body.
 type Request struct {
 	// ID names the request in every daemon that it passes.
 	ID string
-	// Service is the name in the Host header.
+	// Token is the name that the caller gave the request, or empty. The answer
+	// of an upstream carries it too.
+	Token string
+	// Host and Path choose the route where there are routes.
+	Host string
+	Path string
+	// Service is the name in the Host header, or what the route names.
 	Service string
 	// Caller is the name that selectors match.
 	Caller string
 	// Method is the HTTP method in upper case.
 	Method string
+	// Repeat is what the route says of running the request twice.
+	Repeat Repeat
+	// Upstream names the life of the upstream that may run the request; empty
+	// means any.
+	Upstream string
 	// Key is the Idempotency-Key, or empty.
 	Key string
 	// Fingerprint tells requests apart that share a key, and groups the
@@ -60,12 +93,15 @@
 }
 
 // Idempotent reports whether running the request twice is the same as running
-// it once, by the methods of RFC 9110, section 9.2.2.
+// it once, by the route or else by the methods of RFC 9110, section 9.2.2.
 func (r Request) Idempotent() bool {
 	if r.Issue {
 		// A key that nobody uses costs nothing.
 		return true
 	}
+	if r.Repeat != ByMethod {
+		return r.Repeat == Safe
+	}
 	switch r.Method {
 	case "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE":
 		return true
--- a/cmd/pomelodoor/run.go
+++ b/cmd/pomelodoor/run.go
@@ -20,6 +20,9 @@
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	// The flags do not change while a daemon runs, so there is nothing to read
+	// again.
+	signal.Ignore(syscall.SIGHUP)
 	d, err := daemon.Start(*settings, newLogger(settings, logTo), daemon.Seams{})
 	if err != nil {
 		return fmt.Errorf("start the daemon: %w", err)
--- a/config/document.go
+++ b/config/document.go
@@ -7,7 +7,8 @@
 	"strings"
 )
 
-// MaxBytes bounds a document, because each one travels to every daemon.
+// MaxBytes bounds a document that is not of the kind routes, because each one
+// travels to every daemon.
 const MaxBytes = 64 << 10
 
 // maxRevision is the largest whole number that every JSON tool keeps exact.
@@ -24,7 +25,7 @@
 // CheckKey reports whether key is one that a document can have.
 func CheckKey(key string) bool {
 	name, ok := strings.CutPrefix(key, servicePrefix)
-	return key == KeySwitches || ok && checkService(name) == ""
+	return key == KeySwitches || key == KeyRoutes || ok && checkService(name) == ""
 }
 
 // Kind says what a document declares.
@@ -34,6 +35,7 @@
 const (
 	KindService  Kind = "service"
 	KindSwitches Kind = "switches"
+	KindRoutes   Kind = "routes"
 )
 
 // Document is one accepted document. It does not change after Parse, so that
@@ -47,9 +49,10 @@
 	raw      []byte
 	service  *Service
 	switches *Switches
+	routes   *Routes
 }
 
-// Key returns "switches" or "services/NAME".
+// Key returns "switches", "routes" or "services/NAME".
 func (d Document) Key() string { return d.key }
 
 // Kind returns what the document declares.
@@ -71,6 +74,9 @@
 // Switches returns what a switches document declares, or nil.
 func (d Document) Switches() *Switches { return d.switches }
 
+// Routes returns what a routes document declares, or nil.
+func (d Document) Routes() *Routes { return d.routes }
+
 // Parse reads one document. The error is an InvalidError with every fault that
 // was found; file is only used to name the place of a fault.
 func Parse(file string, data []byte) (Document, error) {
@@ -85,8 +91,8 @@
 
 func parse(file, key string, data []byte) (Document, error) {
 	r := &reader{file: file}
-	if len(data) > MaxBytes {
-		r.fault(1, "", "has %d bytes, at most %d are allowed", len(data), MaxBytes)
+	if len(data) > MaxRoutesBytes {
+		r.fault(1, "", "has %d bytes, at most %d are allowed", len(data), MaxRoutesBytes)
 		return Document{}, r.err(0)
 	}
 	root, syntax := parseTree(data)
@@ -97,6 +103,10 @@
 	if !r.is(root, "", objectNode) {
 		return Document{}, r.err(0)
 	}
+	if kind, _ := (object{node: root}).field("kind"); len(data) > MaxBytes && (kind == nil || kind.text != string(KindRoutes)) {
+		r.fault(1, "", "has %d bytes, at most %d are allowed", len(data), MaxBytes)
+		return Document{}, r.err(0)
+	}
 	d := r.document(root)
 	if key != "" && d.key != "" && d.key != key {
 		r.fault(root.line, "", "belongs under the key %s, found under %q", d.key, clip(key))
@@ -121,6 +131,9 @@
 	case KindService:
 		d.service = r.service(root)
 		d.key = KeyService(d.service.name)
+	case KindRoutes:
+		d.routes = r.routes(root)
+		d.key = KeyRoutes
 	}
 	if _, ok := o.field("revision"); !ok {
 		r.fault(root.line, "revision", "is missing")
@@ -130,10 +143,11 @@
 }
 
 func checkKind(text string) string {
-	if text == string(KindService) || text == string(KindSwitches) {
+	switch Kind(text) {
+	case KindService, KindSwitches, KindRoutes:
 		return ""
 	}
-	return "is no kind, want service or switches"
+	return "is no kind, want service, switches or routes"
 }
 
 // Order returns two numbers that order documents of one key as Newer does, for
--- a/config/set.go
+++ b/config/set.go
@@ -21,10 +21,13 @@
 	documents map[string]Document
 	services  map[string]*Service
 	switches  *Switches
-	confirmed bool
-	summary   uint64
-	conflicts map[string]Conflict
-	rejected  map[string]Rejection
+	routes    *Routes
+	// undocumented holds the services that only the routes document names.
+	undocumented map[string]*Service
+	confirmed    bool
+	summary      uint64
+	conflicts    map[string]Conflict
+	rejected     map[string]Rejection
 }
 
 // NewSet returns a set with no document, in which no action is allowed.
@@ -69,6 +72,10 @@
 	if d.switches != nil {
 		s.switches = d.switches
 	}
+	if d.routes != nil {
+		s.routes = d.routes
+		s.undocumented = undocumented(d.routes)
+	}
 	delete(s.conflicts, d.key)
 }
 
@@ -98,12 +105,48 @@
 	return s.confirmed && s.switches != nil && s.switches.Allows(a)
 }
 
-// Service returns the service called name.
+// Assume lets the actions be allowed for as long as no switches document has
+// been applied.
+func (s *Set) Assume(actions []Action) {
+	if s.switches != nil {
+		return
+	}
+	s.switches = &Switches{}
+	for _, a := range actions {
+		s.switches.allow |= a.bit()
+	}
+}
+
+// Service returns the service called name. One without a document, which the
+// routes name, has the defaults.
 func (s *Set) Service(name string) (*Service, bool) {
-	svc, ok := s.services[name]
+	if svc, ok := s.services[name]; ok {
+		return svc, true
+	}
+	svc, ok := s.undocumented[name]
 	return svc, ok
 }
 
+// Routes returns the routes in force, or nil when there is no routes document.
+func (s *Set) Routes() *Routes { return s.routes }
+
+// undocumented returns a service with the defaults for each that routes name.
+func undocumented(routes *Routes) map[string]*Service {
+	services := make(map[string]*Service, len(routes.endpoints))
+	for name, endpoint := range routes.endpoints {
+		r := &reader{}
+		root := &node{kind: objectNode, members: []member{
+			{name: "service", value: &node{kind: textNode, text: name}},
+		}}
+		service := r.service(root)
+		service.limits.connections = endpoint.connections
+		service.limits.maxBody = routes.maxBody
+		service.limits.timeout = maxTimeoutMs * time.Millisecond
+		services[name] = service
+	}
+	return services
+}
+
 // Document returns the document in force under key.
 func (s *Set) Document(key string) (Document, bool) {
 	d, ok := s.documents[key]
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -45,7 +45,7 @@
 	now := time.Now()
 	request, body, err := d.readCaller(ctx, now)
 	if err != nil {
-		refuseRequest(ctx, err)
+		d.refuseRequest(ctx, err)
 		return
 	}
 	box, _ := d.calls.add(request.ID)
@@ -75,7 +75,7 @@
 
 // readCaller parses a request and holds its body if that is short.
 func (d *Daemon) readCaller(ctx *fasthttp.RequestCtx, now time.Time) (call.Request, *ingress.Body, error) {
-	request, err := ingress.ParseCaller(ctx, now)
+	request, err := ingress.ParseCaller(ctx, d.dialect, now)
 	if err != nil {
 		return request, nil, fmt.Errorf("read the request: %w", err)
 	}
@@ -94,9 +94,10 @@
 }
 
 // refuseRequest answers a request that cannot be accepted; nothing has run.
-func refuseRequest(ctx *fasthttp.RequestCtx, err error) {
+func (d *Daemon) refuseRequest(ctx *fasthttp.RequestCtx, err error) {
 	ingress.Refuse(ctx, call.NotRun, ingress.Reason(err), err.Error())
 	ctx.SetConnectionClose()
+	d.part("ingress").Warn("A request cannot be accepted.", "id", d.dialect.Token(&ctx.Request.Header), "error", err)
 }
 
 // serve carries out the node's commands until one ends the call. The function
@@ -136,6 +137,9 @@
 		c.drop(0)
 		done()
 		ingress.Refuse(c.ctx, command.Outcome, command.Reason, explain(command.Reason))
+		if command.ComeBack > 0 && c.d.dialect.Refuse != nil {
+			c.d.dialect.Refuse(&c.ctx.Response, command.ComeBack)
+		}
 		c.ctx.Response.Header.Set(call.HeaderCall, c.request.ID)
 		return command.Outcome, command.Reason, true
 	case node.Deliver:
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -23,6 +23,8 @@
 			d.probing.cancel()
 		case node.ReadPlatform:
 			d.loop(func() { d.readPlatform(c.Read) })
+		case node.RereadStore:
+			d.follows.restart()
 		case node.Send:
 			d.control.Send(c.Address, c.Envelope)
 		case node.Note:
@@ -60,8 +62,8 @@
 
 func (d *Daemon) note(n node.Note) {
 	if n.Warn {
-		d.part(n.Part).Warn(n.Text)
+		d.part(n.Part).Warn(n.Text, n.Fields...)
 		return
 	}
-	d.part(n.Part).Info(n.Text)
+	d.part(n.Part).Info(n.Text, n.Fields...)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"pomelodoor.example/pomelodoor/node"
 	"pomelodoor.example/pomelodoor/peer"
 	"pomelodoor.example/pomelodoor/platform"
+	"pomelodoor.example/pomelodoor/registry"
 )
 
 const (
@@ -62,12 +63,18 @@
 
 	upstream *exchange.Pool
 	peers    *pools
-	platform *platform.Client
+	// registry is read by daemons that spread what they read, store by those
+	// that read it for themselves.
+	registry *registry.Client
+	store    *platform.Client
+	follows  *follows
+	dialect  ingress.Dialect
 	control  *peer.Endpoint
 
 	callers  *ingress.Server
 	fromPeer *ingress.Server
 	admin    *ingress.Server
+	ready    *ingress.Server
 
 	metrics *metrics
 	burnMu  sync.Mutex
@@ -95,6 +102,9 @@
 	}
 	d.loop(d.tick)
 	d.loop(d.sweep)
+	if settings.direct() {
+		d.followStore()
+	}
 	d.part("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation)
 	return d, nil
 }
@@ -109,17 +119,28 @@
 	// The wall clock in nanoseconds rises from one life of an instance to its
 	// next.
 	incarnation := uint64(started.UnixNano())
+	dialect := ingress.Own()
+	if settings.direct() {
+		// The list names a daemon by where it takes requests of others.
+		self.ID = settings.Peer
+		dialect = platform.Dialect(settings.Service)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: settings, log: logger, self: self, incarnation: incarnation, started: started,
 		node: node.New(node.Config{
 			Self: self, Incarnation: incarnation, Started: started, Rand: rand.Uint64, Choose: seams.Choose,
 			FleetSize: settings.FleetSize,
+			Direct:    settings.direct(), Assumed: settings.assumed(), Retry: settings.bounds.retry(),
+			ProbesPerSecond: settings.bounds.ProbesPerSecond,
 		}),
 		calls: newBoxes(), runs: newBoxes(), reserved: newReservations(), watch: ingress.NewWatch(),
-		upstream: exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: upstreamConns}),
+		upstream: exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: upstreamConns, Mine: dialect.Mine}),
 		peers:    newPools(seams.Dial),
-		platform: platform.New(platform.Config{Addresses: settings.Platform}),
+		registry: registry.New(registry.Config{Addresses: settings.Platform}),
+		store:    platform.New(platform.Config{Address: settings.Store}),
+		dialect:  dialect,
+		follows:  newFollows(),
 		probing:  &probing{},
 		ctx:      ctx, stop: stop,
 	}
@@ -139,6 +160,11 @@
 	if d.admin, err = ingress.Start(ingress.Config{Listen: s.Admin, Handle: d.serveAdmin}); err != nil {
 		return fmt.Errorf("admin: %w", err)
 	}
+	if s.Ready != "" {
+		if d.ready, err = ingress.Start(ingress.Config{Listen: s.Ready, Handle: d.serveReady}); err != nil {
+			return fmt.Errorf("ready: %w", err)
+		}
+	}
 	if d.callers, err = ingress.Start(ingress.Config{Listen: s.Listen, Handle: d.serveCaller}); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -209,6 +235,11 @@
 		defer cancel()
 		_ = d.admin.Shutdown(ctx)
 	}
+	if d.ready != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = d.ready.Shutdown(ctx)
+	}
 	if d.control != nil {
 		_ = d.control.Stop()
 	}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -36,7 +36,7 @@
 	m.vars.Set("controlBytesOut", expvar.Func(func() any { return d.control.BytesOut() }))
 	m.vars.Set("controlBytesIn", expvar.Func(func() any { return d.control.BytesIn() }))
 	m.vars.Set("controlDropped", expvar.Func(func() any { return d.control.Dropped() }))
-	m.vars.Set("platformReads", expvar.Func(func() any { return d.platform.Calls() }))
+	m.vars.Set("platformReads", expvar.Func(func() any { return d.registry.Calls() + d.store.Calls() }))
 	m.vars.Set("upstreamConnections", expvar.Func(func() any { return d.upstream.Open() }))
 	m.vars.Set("burn", expvar.Func(func() any {
 		d.burnMu.Lock()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -28,12 +28,12 @@
 	now := time.Now()
 	f, err := ingress.ParseForwarded(ctx, now)
 	if err != nil {
-		refuseRequest(ctx, err)
+		d.refuseRequest(ctx, err)
 		return
 	}
 	body, err := ingress.ReadBody(ctx, maxCallerBody)
 	if err != nil {
-		refuseRequest(ctx, err)
+		d.refuseRequest(ctx, err)
 		return
 	}
 	if !body.Replayable() {
@@ -207,7 +207,7 @@
 		outcome := d.ended(node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
 		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Stale}}
 	}
-	ingress.WriteOnward(&req.Header, request, start)
+	d.dialect.Onward(&req.Header, request, start)
 	resp := fasthttp.AcquireResponse()
 	err := d.upstream.Do(ctx, req, resp)
 	if err != nil {
@@ -222,6 +222,11 @@
 		outcome = d.ended(node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
 		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
 	}
+	told := d.dialect.Answer(resp)
+	if told.NotRun {
+		cancel()
+		return d.shed(request, resp, told, time.Since(start))
+	}
 	end := node.RunEnded{ID: request.ID, Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode()}
 	a := &answer{response: resp, result: node.Attempt{
 		Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode(),
@@ -241,6 +246,18 @@
 	return a
 }
 
+// shed ends a request that the upstream says it did not run.
+func (d *Daemon) shed(request call.Request, resp *fasthttp.Response, told ingress.Answer, took time.Duration) *answer {
+	reason := call.UpstreamShed
+	if told.Replaced {
+		reason = call.UpstreamReplaced
+	}
+	_ = resp.CloseBodyStream()
+	fasthttp.ReleaseResponse(resp)
+	outcome := d.ended(node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: reason, Latency: took})
+	return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
+}
+
 // upstreamGone reports whether the upstream no longer takes connections, which
 // tells a crash from one connection that broke. A process that dies may lose its
 // connections a little before its listener, so one success is not believed.
--- a/daemon/probing.go
+++ b/daemon/probing.go
@@ -42,19 +42,27 @@
 	}
 }
 
+// probePath is the path at which the own upstream tells its load.
+func (d *Daemon) probePath() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.ProbePath()
+}
+
 func (d *Daemon) readLoad(ctx context.Context) (measure.Reading, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetRequestURI("/load")
+	req.Header.SetRequestURI(d.probePath())
 	req.Header.SetHost(d.self.Service)
 	if err := d.upstream.Do(ctx, req, resp); err != nil {
 		return measure.Reading{}, fmt.Errorf("probe the upstream: %w", err)
 	}
-	if resp.IsBodyStream() || resp.StatusCode() != fasthttp.StatusOK {
-		return measure.Reading{}, fmt.Errorf("probe the upstream: %w: status %d", measure.ErrReading, resp.StatusCode())
+	if resp.IsBodyStream() {
+		_ = resp.CloseBodyStream()
+		return measure.Reading{}, fmt.Errorf("probe the upstream: %w: long answer", measure.ErrReading)
 	}
-	reading, err := measure.ParseReading(resp.Body())
+	reading, err := d.dialect.Probe(resp)
 	if err != nil {
 		return reading, fmt.Errorf("probe the upstream: %w", err)
 	}
--- a/daemon/reader.go
+++ b/daemon/reader.go
@@ -12,7 +12,7 @@
 func (d *Daemon) readPlatform(read spread.Read) {
 	message, err := d.readOnce(d.ctx, read)
 	if err != nil {
-		d.part("platform").Debug("A read failed.", "kind", read.Kind, "error", err)
+		d.part("registry").Debug("A read failed.", "kind", read.Kind, "error", err)
 		message = node.ReadFailed{Read: read}
 	}
 	d.update(message)
@@ -21,19 +21,19 @@
 func (d *Daemon) readOnce(ctx context.Context, read spread.Read) (node.Message, error) {
 	switch read.Kind {
 	case spread.ReadIndex:
-		index, err := d.platform.Index(ctx, read.After, read.Wait)
+		index, err := d.registry.Index(ctx, read.After, read.Wait)
 		if err != nil {
 			return nil, fmt.Errorf("watch the index: %w", err)
 		}
 		return node.IndexRead{Version: index.Version, Keys: index.Keys}, nil
 	case spread.ReadInstances:
-		list, err := d.platform.Instances(ctx, read.After, read.Wait)
+		list, err := d.registry.Instances(ctx, read.After, read.Wait)
 		if err != nil {
 			return nil, fmt.Errorf("watch the instances: %w", err)
 		}
 		return node.InstancesRead{Entries: list.Instances, Version: list.Version}, nil
 	}
-	body, version, err := d.platform.Value(ctx, read.Key)
+	body, version, err := d.registry.Value(ctx, read.Key)
 	if err != nil {
 		return nil, fmt.Errorf("read a document: %w", err)
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -5,7 +5,12 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"time"
+
+	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/node"
+	"pomelodoor.example/pomelodoor/platform"
 )
 
 // ErrSettings is wrapped by the error for each wrong setting.
@@ -22,12 +27,30 @@
 	Control          string   `arg:"--control,required,env:POMELODOOR_CONTROL" help:"IP:PORT of jsonrpc2 for other daemons"`
 	Admin            string   `arg:"--admin,required,env:POMELODOOR_ADMIN" help:"IP:PORT of HTTP for operators: /status and /debug/vars"`
 	Upstream         string   `arg:"--upstream,required,env:POMELODOOR_UPSTREAM" help:"IP:PORT of the upstream beside this daemon"`
-	Platform         []string `arg:"--platform,required,env:POMELODOOR_PLATFORM" help:"IP:PORT of the platform's service; several are tried in turn"`
+	Platform         []string `arg:"--platform,env:POMELODOOR_PLATFORM" help:"IP:PORT of the registry of documents and instances; several are tried in turn"`
+	Store            string   `arg:"--store,env:POMELODOOR_STORE" help:"IP:PORT of the users' store, in place of --platform"`
+	Ready            string   `arg:"--ready,env:POMELODOOR_READY" help:"IP:PORT of HTTP that answers 200 while this daemon takes callers"`
+	Bounds           string   `arg:"--bounds,env:POMELODOOR_BOUNDS" help:"what the users' platform asks of the process, as name=value with commas between"`
+	Assume           []string `arg:"--assume,env:POMELODOOR_ASSUME" help:"actions allowed while the users' store holds no switches document"`
 	FleetSize        int      `arg:"--fleet-size,env:POMELODOOR_FLEET_SIZE" default:"3000" placeholder:"N" help:"most instances that may start at once; the platform is read accordingly seldom until the list is known"`
 	LogLevel         string   `arg:"--log-level,env:POMELODOOR_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 	LogFormat        string   `arg:"--log-format,env:POMELODOOR_LOG_FORMAT" default:"text" placeholder:"FORMAT" help:"text or json"`
 	DrainSeconds     float64  `arg:"--drain-seconds,env:POMELODOOR_DRAIN_SECONDS" default:"3" placeholder:"S" help:"least time between telling others of a shutdown and closing the ports"`
 	MaxStopSeconds   float64  `arg:"--max-stop-seconds,env:POMELODOOR_MAX_STOP_SECONDS" default:"600" placeholder:"S" help:"most time that a shutdown waits for requests under way"`
+
+	bounds sharedBounds
+}
+
+// direct reports whether the daemon reads the users' store.
+func (s *Settings) direct() bool { return s.Store != "" }
+
+// assumed returns the actions of Assume. Check has accepted them.
+func (s *Settings) assumed() []config.Action {
+	var actions []config.Action
+	for _, name := range s.Assume {
+		actions = append(actions, config.Action(name))
+	}
+	return actions
 }
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,62})$`)
@@ -53,6 +76,7 @@
 		}
 	}
 	s.checkAddresses(fault)
+	s.checkStore(fault)
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
@@ -93,6 +117,38 @@
 	}
 }
 
+// checkStore checks what belongs to the users' platform, and keeps its bounds.
+func (s *Settings) checkStore(fault func(flag, text string)) {
+	switch {
+	case s.Store == "" && len(s.Platform) == 0:
+		fault("platform", "is missing, and so is --store")
+	case s.Store != "" && len(s.Platform) > 0:
+		fault("store", "stands beside --platform")
+	}
+	for flag, address := range map[string]string{"store": s.Store, "ready": s.Ready} {
+		if address != "" && !isAddress(address) {
+			fault(flag, fmt.Sprintf("%q is not IP:PORT", address))
+		}
+	}
+	for _, name := range s.Assume {
+		if !slices.Contains(config.Actions(), config.Action(name)) {
+			fault("assume", fmt.Sprintf("%q is no action", name))
+		}
+	}
+	bounds, err := platform.ParseBounds(s.Bounds)
+	if err != nil {
+		fault("bounds", err.Error())
+	}
+	s.bounds = sharedBounds{bounds}
+}
+
+// sharedBounds are the bounds in the words of package node.
+type sharedBounds struct{ platform.Bounds }
+
+func (b sharedBounds) retry() node.SharedBudget {
+	return node.SharedBudget{Share: b.RetryShare, Extra: b.RetryExtra, Window: b.RetryWindow}
+}
+
 // isAddress reports whether text is an IP number and a port above 0.
 func isAddress(text string) bool {
 	a, err := netip.ParseAddrPort(text)
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"time"
 )
@@ -18,13 +19,17 @@
 	writer *bufio.Writer
 	// wrote is set by the first attempt to write in this exchange.
 	wrote bool
-	// idleSince is when the connection was last put back.
+	// idleSince is when the connection was last put back, and idleUntil how
+	// long it may be taken again.
 	idleSince time.Time
+	idleUntil time.Time
+	// keepAlive is how long the server says it keeps the connection idle.
+	keepAlive time.Duration
 }
 
 // newConn wraps a connection that has just been opened.
 func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
+	c := &conn{Conn: raw, keepAlive: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(raw, readBufferBytes)
 	c.writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return c
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -17,7 +17,10 @@
 // maxInterim bounds the heads read for one answer.
 const maxInterim = 4
 
-var errInterim = errors.New("too many interim answers")
+var (
+	errInterim = errors.New("too many interim answers")
+	errForeign = errors.New("the answer belongs to another request")
+)
 
 // Do sends req once and reads the answer into resp. It returns an error that
 // wraps ErrNotSent, ErrLost or ErrBodySource. When the answer is longer than
@@ -37,6 +40,9 @@
 	if err != nil {
 		stop()
 		p.discard(c)
+		if ctx.Err() == nil && errors.Is(err, ErrLost) {
+			p.Flush()
+		}
 		return withCause(ctx, err)
 	}
 	return nil
@@ -57,12 +63,47 @@
 		if err := p.sendBody(c, req); err != nil {
 			return err
 		}
-		return p.receive(c, req, resp, stop)
+		return p.receive(c, req, resp, stop, true)
+	}
+	if !req.IsBodyStream() && len(req.Body()) > besideBytes {
+		return p.converseBeside(c, req, resp, stop)
 	}
 	if err := p.send(c, req); err != nil {
 		return err
 	}
-	return p.receive(c, req, resp, stop)
+	return p.receive(c, req, resp, stop, true)
+}
+
+// besideBytes is the longest held body that is written before the answer is
+// read. It fits into the buffers of any connection.
+const besideBytes = 8 << 10
+
+// converseBeside reads the answer while a long body is being written, since a
+// server may answer before it has read the body. The connection is then not
+// used again: what is left of the body would be taken for a request.
+func (p *Pool) converseBeside(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool) error {
+	written := make(chan error, 1)
+	go func() { written <- p.send(c, req) }()
+	err := p.readMine(c, req, resp)
+	var failed error
+	whole := false
+	select {
+	case failed = <-written:
+		whole = failed == nil
+	default:
+		// The head of the answer is here, or the connection has failed.
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+		failed = <-written
+		_ = c.SetWriteDeadline(time.Time{})
+		whole = failed == nil
+	}
+	if err != nil {
+		if failed != nil {
+			return failed
+		}
+		return fmt.Errorf("%w while reading the head: %w", ErrLost, err)
+	}
+	return p.receiveBody(c, req, resp, stop, whole)
 }
 
 // sendHead sends all but the body, and reports whether the server asks for the
@@ -129,17 +170,43 @@
 	return fmt.Errorf("%w while writing: %w", sent, err)
 }
 
-// receive reads the answer: whole when it is short, else as a stream.
-func (p *Pool) receive(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool) error {
-	if err := readHead(c, resp); err != nil {
+// receive reads the answer: whole when it is short, else as a stream. keep lets
+// the connection be used again.
+func (p *Pool) receive(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool, keep bool) error {
+	if err := p.readMine(c, req, resp); err != nil {
 		return fmt.Errorf("%w while reading the head: %w", ErrLost, err)
 	}
-	return p.receiveBody(c, req, resp, stop, true)
+	return p.receiveBody(c, req, resp, stop, keep)
+}
+
+// maxForeign bounds the answers passed over before the right one.
+const maxForeign = 3
+
+// readMine reads the head of the answer, and passes over answers to requests of
+// before.
+func (p *Pool) readMine(c *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
+	for range maxForeign {
+		if err := readHead(c, resp); err != nil {
+			return err
+		}
+		if p.cfg.Mine == nil || p.cfg.Mine(req, resp) {
+			return nil
+		}
+		length := resp.Header.ContentLength()
+		if length < 0 {
+			return errForeign
+		}
+		if _, err := c.reader.Discard(length); err != nil {
+			return fmt.Errorf("pass over an answer: %w", err)
+		}
+	}
+	return errForeign
 }
 
 // receiveBody reads what follows the head of the answer.
 func (p *Pool) receiveBody(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool, keep bool) error {
 	keep = keep && !resp.ConnectionClose() && !req.ConnectionClose()
+	c.keepAlive = keepAlive(&resp.Header)
 	if hasNoBody(req, resp) {
 		resp.SkipBody = true
 		p.finish(c, stop, keep)
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -28,6 +30,10 @@
 	DialTimeout time.Duration
 	// Dial opens a connection; TCP when nil.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Mine reports whether an answer belongs to the request; nil takes every
+	// answer. One that does not is passed over: a server that answered an
+	// earlier request late, or twice, sends it just before the right one.
+	Mine func(req *fasthttp.Request, resp *fasthttp.Response) bool
 	// Now reads the clock that idle times are taken from; time.Now when nil.
 	Now func() time.Time
 }
@@ -55,7 +61,7 @@
 		cfg.DialTimeout = defaultDialTimeout
 	}
 	if cfg.Dial == nil {
-		cfg.Dial = dialTCP
+		cfg.Dial = Dial
 	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
@@ -107,7 +113,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if c.usable() {
+		if !p.cfg.Now().After(c.idleUntil) && c.usable() {
 			c.wrote = false
 			return c, nil
 		}
@@ -177,6 +183,7 @@
 func (p *Pool) put(c *conn) {
 	_ = c.SetDeadline(time.Time{})
 	c.idleSince = p.cfg.Now()
+	c.idleUntil = c.idleSince.Add(min(p.cfg.MaxIdle, c.keepAlive))
 	p.mu.Lock()
 	if p.closed || p.open > p.cfg.MaxConns {
 		p.mu.Unlock()
@@ -193,7 +200,15 @@
 	p.release()
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
+// Flush closes the idle connections. Connections that were opened through one
+// break tend to have broken together.
+func (p *Pool) Flush() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
 }
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -21,6 +21,10 @@
 	ErrLongBody = merry.Sentinel("ingress: request body too long", merry.WithValue(reasonKey, call.BodyTooLarge))
 )
 
+// HeldBytes is the longest request body that is held whole, so that it can be
+// sent again when an upstream refuses it.
+const HeldBytes = 1 << 20
+
 // Body is the body of a request: held whole when it is short, else a stream
 // that can be read once.
 type Body struct {
@@ -31,7 +35,7 @@
 	source *exchange.Source
 }
 
-// ReadBody holds up to exchange.HeldBytes of the request's body. A held body
+// ReadBody holds up to HeldBytes of the request's body. A held body
 // is known to be whole; one cut short is refused here, before anything ran.
 // maxBytes bounds the whole body where its length is stated.
 func ReadBody(ctx *fasthttp.RequestCtx, maxBytes int64) (*Body, error) {
@@ -43,14 +47,14 @@
 	if stream == nil {
 		return &Body{held: ctx.Request.Body(), length: len(ctx.Request.Body())}, nil
 	}
-	if length > exchange.HeldBytes {
+	if length > HeldBytes {
 		return &Body{stream: stream, length: length}, nil
 	}
-	held, err := io.ReadAll(io.LimitReader(stream, exchange.HeldBytes+1))
+	held, err := io.ReadAll(io.LimitReader(stream, HeldBytes+1))
 	if err != nil || (length >= 0 && len(held) < length) {
 		return nil, fmt.Errorf("%w: %d bytes came", ErrShortBody, len(held))
 	}
-	if len(held) <= exchange.HeldBytes {
+	if len(held) <= HeldBytes {
 		return &Body{held: held, length: len(held)}, nil
 	}
 	rest := &bounded{reader: io.MultiReader(bytes.NewReader(held), stream), left: maxBytes}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -34,17 +34,20 @@
 	Incarnation uint64
 }
 
-// ParseCaller reads a caller's request. The fields that need configuration or
-// the body are left for the caller of this function to fill.
-func ParseCaller(ctx *fasthttp.RequestCtx, now time.Time) (call.Request, error) {
+// ParseCaller reads a caller's request in its dialect. The fields that need
+// configuration or the body are left for the caller of this function to fill.
+func ParseCaller(ctx *fasthttp.RequestCtx, dialect Dialect, now time.Time) (call.Request, error) {
 	h := &ctx.Request.Header
 	r := call.Request{
 		Service: serviceName(string(h.Host())),
-		Caller:  string(h.Peek(call.HeaderCaller)),
 		Method:  string(h.Method()),
 		Key:     strings.Trim(string(h.Peek(call.HeaderKey)), `"`),
 	}
-	r.Issue = r.Method == fasthttp.MethodPost && string(ctx.Path()) == call.KeyPath
+	r.Host, r.Path = r.Service, rawPath(h.RequestURI())
+	if err := dialect.Parse(h, &r, now); err != nil {
+		return r, err
+	}
+	r.Issue = r.Method == fasthttp.MethodPost && r.Path == call.KeyPath
 	if r.Service == "" {
 		return r, fmt.Errorf("%w: no service in the Host header", ErrRequest)
 	}
@@ -56,13 +59,13 @@
 	if len(h.PeekAll("Host")) > 1 || len(h.PeekAll(call.HeaderKey)) > 1 {
 		return r, fmt.Errorf("%w: a header that must be single is repeated", ErrRequest)
 	}
-	attempt, err := number(h, call.HeaderAttempt)
-	if err != nil {
-		return r, err
-	}
-	r.Attempt = int(min(attempt, maxAttempt))
-	r.Deadline, err = deadline(h, now)
-	return r, err
+	return r, nil
+}
+
+// rawPath returns the path of a request target as it was sent.
+func rawPath(target []byte) string {
+	path, _, _ := strings.Cut(string(target), "?")
+	return path
 }
 
 // maxAttempt caps the attempt number that is carried on.
@@ -70,11 +73,16 @@
 
 // ParseForwarded reads a request that another daemon has sent on.
 func ParseForwarded(ctx *fasthttp.RequestCtx, now time.Time) (Forwarded, error) {
-	r, err := ParseCaller(ctx, now)
+	r, err := ParseCaller(ctx, Own(), now)
 	if err != nil {
 		return Forwarded{}, err
 	}
 	h := &ctx.Request.Header
+	if service := h.Peek(call.HeaderService); len(service) > 0 {
+		r.Service = string(service)
+	}
+	r.Repeat = call.Repeat(h.Peek(call.HeaderRepeat))
+	r.Upstream = string(h.Peek(call.HeaderUpstream))
 	r.ID = string(h.Peek(call.HeaderCall))
 	if r.ID == "" {
 		return Forwarded{}, fmt.Errorf("%w: no call id", ErrRequest)
@@ -109,6 +117,13 @@
 	h.Set(call.HeaderTarget, f.Target)
 	h.Set(call.HeaderIncarnation, strconv.FormatUint(f.Incarnation, 10))
 	h.Set(call.HeaderFingerprint, strconv.FormatUint(f.Request.Fingerprint, 10))
+	h.Set(call.HeaderService, f.Request.Service)
+	if f.Request.Repeat != call.ByMethod {
+		h.Set(call.HeaderRepeat, string(f.Request.Repeat))
+	}
+	if f.Request.Upstream != "" {
+		h.Set(call.HeaderUpstream, f.Request.Upstream)
+	}
 	if f.Request.Granted {
 		h.Set(call.HeaderGranted, granted)
 	}
@@ -124,8 +139,7 @@
 	h.Set(call.HeaderCall, r.ID)
 	h.Set(call.HeaderCaller, r.Caller)
 	h.Set(call.HeaderAttempt, strconv.Itoa(r.Attempt))
-	left := max(r.Deadline.Sub(now).Milliseconds(), 1)
-	h.Set(call.HeaderDeadline, strconv.FormatInt(left, 10))
+	h.Set(call.HeaderDeadline, Milliseconds(r.Deadline.Sub(now)))
 }
 
 // CopyHead starts a request to elsewhere from the one received: everything but
@@ -144,6 +158,7 @@
 	call.HeaderFrom, call.HeaderTarget, call.HeaderIncarnation, call.HeaderHops,
 	call.HeaderPriority, call.HeaderFingerprint, call.HeaderLoad, call.HeaderCall,
 	call.HeaderGranted, call.HeaderSpent, call.HeaderOutcome, call.HeaderReason,
+	call.HeaderRepeat, call.HeaderUpstream, call.HeaderService,
 }
 
 // serviceName takes the service from a Host header.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -11,7 +11,6 @@
 	"github.com/valyala/fasthttp"
 
 	"pomelodoor.example/pomelodoor/call"
-	"pomelodoor.example/pomelodoor/exchange"
 )
 
 const (
@@ -20,6 +19,8 @@
 	// idleTimeout is longer than the idle time of every client of ours, so
 	// that a connection is closed by the side that sends requests.
 	idleTimeout = 90 * time.Second
+	// streamedBytes is the part of a body that is read before the handler runs.
+	streamedBytes = 64 << 10
 	// headerTimeout bounds the time from a request's first byte to its handler.
 	headerTimeout = 10 * time.Second
 )
@@ -56,7 +57,7 @@
 		ErrorHandler:                 refuseMalformed,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
-		MaxRequestBodySize:           exchange.HeldBytes,
+		MaxRequestBodySize:           streamedBytes,
 		ReadBufferSize:               maxHeaderBytes,
 		ReadTimeout:                  headerTimeout,
 		IdleTimeout:                  idleTimeout,
--- a/measure/reading.go
+++ b/measure/reading.go
@@ -22,6 +22,11 @@
 	State    State `json:"state"`
 	InFlight int   `json:"inFlight"`
 	Slots    int   `json:"slots"`
+	// Queued counts the calls that wait at the upstream itself.
+	Queued int `json:"queued"`
+	// PacePercent is how long work takes at this moment, 100 being usual and 0
+	// not known.
+	PacePercent int `json:"pacePercent"`
 }
 
 // ErrReading is returned for an answer that makes no sense.
--- a/membership/group.go
+++ b/membership/group.go
@@ -90,6 +90,17 @@
 	return members
 }
 
+// All returns the records of all instances known, sorted by ID.
+func (v *View) All() []Record { return records(v.all.members) }
+
+func records(members []*member) []Record {
+	list := make([]Record, len(members))
+	for i, m := range members {
+		list[i] = m.Record
+	}
+	return list
+}
+
 // Services returns the names of all services with a live instance, sorted.
 func (v *View) Services() []string {
 	var names []string
--- a/membership/record.go
+++ b/membership/record.go
@@ -1,5 +1,7 @@
 package membership
 
+import "time"
+
 // Instance says what an instance is and where it is reached. Addresses have
 // the form IP:PORT.
 type Instance struct {
@@ -14,6 +16,22 @@
 	Listen  string `json:"listen"`
 	Peer    string `json:"peer"`
 	Control string `json:"control"`
+	// Upstream names the life of the upstream, so that another one at the same
+	// address can refuse what was meant for it; empty when not known.
+	Upstream string `json:"upstream,omitempty"`
+	// Slots is how many calls the upstream runs at once; 0 when not known.
+	Slots int `json:"slots,omitempty"`
+	// ColdUntil is until when the upstream is slow after its start.
+	ColdUntil time.Time `json:"coldUntil,omitzero"`
+}
+
+// Name returns what operators call the instance: the name of its upstream where
+// that has one of its own.
+func (i Instance) Name() string {
+	if i.Upstream != "" {
+		return i.Upstream
+	}
+	return i.ID
 }
 
 // State says whether an instance may be given work.
--- a/node/admission.go
+++ b/node/admission.go
@@ -176,6 +176,9 @@
 	}
 	l := service.Limits()
 	want := admit.Limits{Slots: l.Slots(), Queue: l.Queue(), Shed: n.config.Allowed(config.Shed)}
+	if slots := n.view.Self().Slots; slots > 0 {
+		want.Slots, want.Queue = slots, queuePerSlot*slots
+	}
 	if want == n.gate.Limits() {
 		return nil
 	}
@@ -208,6 +211,9 @@
 // upstream is reported as down.
 const downAfterFailures = 3
 
+// queuePerSlot bounds the queue of an upstream whose slots the list tells.
+const queuePerSlot = 2
+
 // leaving reports whether new work is refused for good or until the upstream
 // returns.
 func (n *Node) leaving() bool {
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -33,7 +33,7 @@
 	}
 	set = &candidateSet{generation: generation, summary: summary}
 	for _, r := range n.view.Serving(service.Name()) {
-		if service.Serves(selector, r.ID, r.AvailabilityZone) {
+		if service.Serves(selector, r.Name(), r.AvailabilityZone) {
 			set.list = append(set.list, balance.Candidate{
 				ID: r.ID, Zone: r.AvailabilityZone, Incarnation: r.Incarnation,
 			})
@@ -65,6 +65,7 @@
 		Hedge:        n.config.Allowed(config.Hedge),
 		HedgePercent: service.Budgets().HedgePercent(),
 	}
+	n.shareBudget(&settings)
 	p := n.policies[service.Name()]
 	if p == nil {
 		p = retry.New(settings)
@@ -75,6 +76,28 @@
 	return p
 }
 
+const (
+	// budgetUse is the part of the shared budget that is spent. The rest covers
+	// requests in which a repeated call is hidden, and daemons that come and go.
+	budgetUse = 0.5
+	// budgetSaved is the part of the extra sends of a window that may be spent
+	// at once.
+	budgetSaved = 0.25
+)
+
+// shareBudget gives this daemon its part of what all may spend together. Each
+// sees only its own requests, so the share is of those and the extra is divided.
+func (n *Node) shareBudget(c *retry.Config) {
+	shared := n.cfg.Retry
+	if shared.Window == 0 {
+		return
+	}
+	daemons := float64(max(n.view.LiveCount(), 1))
+	c.RetryPercent = min(c.RetryPercent, 100*budgetUse*shared.Share)
+	c.Floor = budgetUse * shared.Extra / shared.Window.Seconds() / daemons
+	c.Saved = max(budgetSaved*shared.Extra/daemons, 1)
+}
+
 // pickOptions returns the switches in force that bind the choice for a call.
 func (n *Node) pickOptions(c *callState) balance.Options {
 	return balance.Options{
--- a/node/command.go
+++ b/node/command.go
@@ -36,6 +36,9 @@
 	ID      string
 	Outcome call.Outcome
 	Reason  call.Reason
+	// ComeBack is when the caller of a request that did not run may try again;
+	// zero says nothing.
+	ComeBack time.Duration
 }
 
 // Deliver passes the answer of an attempt on to the caller.
@@ -104,6 +107,9 @@
 	Read spread.Read
 }
 
+// RereadStore ends the watches of the users' store and asks it anew.
+type RereadStore struct{}
+
 // Send sends a control message to another daemon's control address.
 type Send struct {
 	Address  string
@@ -117,6 +123,8 @@
 	Text string
 	// Warn marks what may need an operator.
 	Warn bool
+	// Fields are names and values by turns.
+	Fields []any
 }
 
 func (Forward) command()       {}
@@ -132,5 +140,6 @@
 func (Probe) command()         {}
 func (CancelProbe) command()   {}
 func (ReadPlatform) command()  {}
+func (RereadStore) command()   {}
 func (Send) command()          {}
 func (Note) command()          {}
--- a/node/control.go
+++ b/node/control.go
@@ -19,6 +19,9 @@
 	}
 	n.view.Heard(e.From, e.Incarnation, now)
 	n.meet(e)
+	if n.direct() && e.Kind != kindLoad && e.Kind != kindSuspects {
+		return nil
+	}
 	switch e.Kind {
 	case kindSpread:
 		var body spread.Message
--- /dev/null
+++ b/node/direct.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/membership"
+)
+
+// direct reports whether this daemon reads the store itself, which then leaves
+// nothing for daemons to tell each other of documents and instances.
+func (n *Node) direct() bool { return n.spread == nil }
+
+// instancesListed takes in the store's list of instances.
+func (n *Node) instancesListed(m InstancesListed, now time.Time) []Command {
+	n.view.Fresh()
+	before := n.upstreamState()
+	old := n.liveUpstreams()
+	if !n.view.Replace(m.List, now) {
+		return nil
+	}
+	n.forgetGone()
+	out := n.noteChanges(old, m.Revision)
+	return append(out, n.followOwn(before, now)...)
+}
+
+// liveUpstreams returns the state of each upstream, by its life.
+func (n *Node) liveUpstreams() map[string]membership.Record {
+	all := map[string]membership.Record{}
+	for _, r := range n.view.All() {
+		all[r.ID+" "+r.Upstream] = r
+	}
+	return all
+}
+
+// noteChanges tells the log what has changed since old.
+func (n *Node) noteChanges(old map[string]membership.Record, revision uint64) []Command {
+	var out []Command
+	note := func(text string, r membership.Record) {
+		out = append(out, Note{Part: "membership", Text: text, Fields: []any{
+			"instance", r.ID, "upstream", r.Upstream, "service", r.Service, "state", r.State, "storeRevision", revision,
+		}})
+	}
+	for key, r := range n.liveUpstreams() {
+		was, known := old[key]
+		delete(old, key)
+		switch {
+		case !known:
+			note("An upstream is listed.", r)
+		case was.State != r.State:
+			note("An upstream has changed its state.", r)
+		}
+	}
+	for _, r := range old {
+		note("An upstream is gone from the list.", r)
+	}
+	return out
+}
+
+// upstreamState is the life and the state of the own upstream.
+type upstreamState struct {
+	life  string
+	state membership.State
+}
+
+func (n *Node) upstreamState() upstreamState {
+	self := n.view.Self()
+	return upstreamState{self.Upstream, self.State}
+}
+
+// followOwn opens and closes the gate as the own upstream comes and goes.
+func (n *Node) followOwn(before upstreamState, now time.Time) []Command {
+	after := n.upstreamState()
+	if after == before || n.stopping {
+		return nil
+	}
+	out := n.limits(now)
+	switch {
+	case after.state == membership.Live && n.gate.Draining():
+		n.gate.Open()
+		out = append(out, Note{Part: "admit", Text: "The upstream serves.", Fields: []any{"upstream", after.life}})
+	case after.state != membership.Live && !n.gate.Draining():
+		out = append(out, n.admit(n.gate.Drain(now), now)...)
+		out = append(out, Note{
+			Part: "admit", Text: "The upstream is leaving. No new work is accepted.", Warn: true,
+			Fields: []any{"upstream", after.life, "state", after.state},
+		})
+	}
+	return out
+}
+
+// forgetGone drops what was learned of instances that are no longer listed.
+func (n *Node) forgetGone() {
+	for _, p := range n.pickers {
+		p.Retain(func(id string) bool {
+			_, ok := n.view.Lookup(id)
+			return ok
+		})
+	}
+}
+
+// documentRead puts a document of the store in force, or keeps the last good
+// one.
+func (n *Node) documentRead(m DocumentRead, now time.Time) []Command {
+	if m.Err != nil {
+		return n.rejectDocument(m.Key, m.Err, now)
+	}
+	d, err := config.ParseKey("store:"+m.Key, m.Key, m.Body)
+	if err != nil {
+		return n.rejectDocument(m.Key, err, now)
+	}
+	return n.applyDocument(d, now)
+}
+
+// applyDocument puts a document in force if it is newer than the one held.
+func (n *Node) applyDocument(d config.Document, now time.Time) []Command {
+	changed, conflict := n.config.Apply(d)
+	out := []Command{}
+	fields := []any{"key", d.Key(), "revision", d.Revision(), "digest", d.Digest()}
+	if conflict {
+		out = append(out, Note{Part: "config", Text: "Two documents carry one revision.", Warn: true, Fields: fields})
+	}
+	if changed {
+		out = append(out, Note{Part: "config", Text: "A document is in force.", Fields: fields})
+		out = append(out, n.limits(now)...)
+	}
+	return out
+}
+
+// documentsComplete lets automatic actions begin: every document of the store
+// has been read once, the switches among them.
+func (n *Node) documentsComplete(now time.Time) []Command {
+	if n.config.Confirmed() {
+		return nil
+	}
+	n.config.Confirm()
+	text := fmt.Sprintf("All documents have been read, %d are in force.", len(n.config.Documents()))
+	out := []Command{Note{Part: "config", Text: text}}
+	return append(out, n.limits(now)...)
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 
@@ -115,18 +114,7 @@
 	if err != nil {
 		return n.rejectDocument(item.Key, err, now)
 	}
-	changed, conflict := n.config.Apply(d)
-	out := []Command{}
-	if conflict {
-		text := "Two documents carry one revision: " + d.Key() + " revision " + strconv.FormatUint(d.Revision(), 10) + "."
-		out = append(out, Note{Part: "config", Text: text, Warn: true})
-	}
-	if changed {
-		text := "A document is in force: " + d.Key() + " revision " + strconv.FormatUint(d.Revision(), 10) + "."
-		out = append(out, Note{Part: "config", Text: text})
-		out = append(out, n.limits(now)...)
-	}
-	return out
+	return n.applyDocument(d, now)
 }
 
 func (n *Node) refuseItem(item spread.Item, err error, now time.Time) []Command {
@@ -160,7 +148,17 @@
 
 // announce tells the other daemons of this one's own record.
 func (n *Node) announce(now time.Time) {
-	n.putRecord(n.view.Self(), now)
+	if !n.direct() {
+		n.putRecord(n.view.Self(), now)
+	}
+}
+
+// spreadTick spreads what is due.
+func (n *Node) spreadTick(now time.Time) []Command {
+	if n.direct() {
+		return nil
+	}
+	return n.spreadActions(n.spread.Tick(now), now)
 }
 
 // putRecord spreads a record that this daemon found changed.
--- a/node/handon.go
+++ b/node/handon.go
@@ -36,6 +36,7 @@
 	onward.ID += "h"
 	onward.Hops++
 	onward.Granted = run.granted
+	onward.Upstream = record.Upstream
 	if !run.before.IsZero() && run.before.Before(onward.Deadline) {
 		onward.Deadline = run.before
 	}
@@ -71,5 +72,5 @@
 // that it stays the same when selectors change.
 func (n *Node) homeMayRun(r call.Request) bool {
 	service, selector, ok := n.allowedFor(r)
-	return ok && service.Serves(selector, n.self(), n.cfg.Self.AvailabilityZone)
+	return ok && service.Serves(selector, n.view.Self().Name(), n.cfg.Self.AvailabilityZone)
 }
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -12,12 +12,19 @@
 
 // callState is one caller's request that has not been answered yet.
 type callState struct {
-	request  call.Request
+	request call.Request
+	arrived time.Time
+	// route is nil where there are no routes.
+	route    *config.Route
 	service  *config.Service
 	selector *config.Selector
 	// above is the attempt number that came with the request.
 	above int
 	made  int
+	// reached counts the attempts that an upstream was sent, refused those that
+	// a daemon turned away before.
+	reached int
+	refused int
 	// tried names the upstreams that have had an attempt.
 	tried []string
 	// open holds the attempts under way.
@@ -43,20 +50,22 @@
 // callerRequest finds the service and the selector, and makes the first
 // attempt.
 func (n *Node) callerRequest(m CallerRequest, now time.Time) []Command {
-	c := &callState{request: m.Request, above: m.Request.Attempt}
-	service, ok := n.config.Service(m.Request.Service)
+	c := &callState{request: m.Request, arrived: now, above: m.Request.Attempt}
+	if reason, ok := n.route(c, now); !ok {
+		return []Command{n.refusal(c, proved(m.Request), reason)}
+	}
+	service, ok := n.config.Service(c.request.Service)
 	if !ok {
-		return n.unknownService(m.Request)
+		return n.unknownService(c)
 	}
 	c.service = service
 	if c.selector, ok = service.Select(m.Request.Caller); !ok {
-		return []Command{Answer{m.Request.ID, proved(m.Request), call.NoSelector}}
+		return []Command{n.refusal(c, proved(m.Request), call.NoSelector)}
 	}
-	c.request.Priority = service.Priority(m.Request.Caller)
-	latest := now.Add(service.Limits().Timeout())
-	if c.request.Deadline.IsZero() || c.request.Deadline.After(latest) {
-		c.request.Deadline = latest
+	if c.route == nil {
+		c.request.Priority = service.Priority(m.Request.Caller)
 	}
+	c.bound(now.Add(service.Limits().Timeout()))
 	n.calls[c.request.ID] = c
 	n.policy(service, now).First(c.above)
 	target, reason, ok := n.choose(c, now)
@@ -67,12 +76,25 @@
 }
 
 // unknownService tells a name that no document has from having no documents.
-func (n *Node) unknownService(r call.Request) []Command {
+func (n *Node) unknownService(c *callState) []Command {
 	reason := call.UnknownService
 	if len(n.config.Documents()) == 0 {
 		reason = call.NoConfiguration
 	}
-	return []Command{Answer{r.ID, proved(r), reason}}
+	return []Command{n.refusal(c, proved(c.request), reason)}
+}
+
+// comeBackAfter is when a caller is told to come back: later than the load of a
+// moment lasts, and soon enough to be served in time.
+const comeBackAfter = 100 * time.Millisecond
+
+// refusal answers a call without an upstream's answer.
+func (n *Node) refusal(c *callState, outcome call.Outcome, reason call.Reason) Command {
+	a := Answer{ID: c.request.ID, Outcome: outcome, Reason: reason}
+	if outcome == call.NotRun {
+		a.ComeBack = comeBackAfter
+	}
+	return a
 }
 
 // choose names the upstream for the next attempt, or says why there is none.
@@ -108,14 +130,14 @@
 	n.picker(c.service).Started(target, now)
 	onward := c.request
 	onward.ID = c.request.ID + "-" + strconv.Itoa(c.made)
-	onward.Attempt = n.try(c).Attempt() - 1
-	out := []Command{Forward{
-		ID:          c.request.ID,
-		Number:      c.made,
-		To:          record.Instance,
-		Incarnation: record.Incarnation,
-		Request:     onward,
-	}}
+	onward.Attempt = c.above + c.made - 1
+	onward.Upstream = record.Upstream
+	f := Forward{ID: c.request.ID, Number: c.made, To: record.Instance, Request: onward}
+	if !n.direct() {
+		// The store's list tells the lives of upstreams, not of daemons.
+		f.Incarnation = record.Incarnation
+	}
+	out := []Command{f}
 	if delay, ok := n.policy(c.service, now).HedgeAfter(n.try(c), now); ok && c.made == 1 {
 		out = append(out, HedgeAfter{ID: c.request.ID, Delay: delay})
 	}
@@ -134,6 +156,7 @@
 		return nil
 	}
 	n.learn(c, a, m.Result, now)
+	c.count(m.Result)
 	c.bodyTaken = c.bodyTaken || m.Result.BodyTaken
 	if m.Result.Outcome == call.NotRun && !m.Result.Answered {
 		m.Result.Outcome = proved(c.request)
@@ -167,12 +190,35 @@
 	t := n.try(c)
 	t.Last, t.Failed = last.Outcome, failed
 	target, ok := n.chooseAgain(c, last, now)
-	if !ok || !n.policy(c.service, now).Again(t, now).Allowed {
+	if !ok {
+		return nil, false
+	}
+	policy := n.policy(c.service, now)
+	verdict := policy.Again
+	if last.turnedAway() && n.direct() {
+		verdict = policy.Elsewhere
+	}
+	if !verdict(t, now).Allowed {
 		return nil, false
 	}
 	return n.forward(c, target, now), true
 }
 
+// turnedAway reports whether the request got no further than a daemon, so that
+// another attempt is the first that an upstream sees.
+func (a Attempt) turnedAway() bool {
+	return a.Outcome == call.NotRun && a.Reason != call.UpstreamShed && a.Reason != call.UpstreamReplaced
+}
+
+// count notes how far an attempt has got.
+func (c *callState) count(a Attempt) {
+	if a.turnedAway() {
+		c.refused++
+		return
+	}
+	c.reached++
+}
+
 // chooseAgain names the upstream for a further attempt. A request under which
 // an upstream has crashed is sent to its trial upstream only, and not again
 // after a second crash.
@@ -256,7 +302,7 @@
 	if c.unknown {
 		outcome = call.Unknown
 	}
-	return []Command{Answer{ID: c.request.ID, Outcome: outcome, Reason: reason}}
+	return []Command{n.refusal(c, outcome, reason)}
 }
 
 // cancelOpen cancels every attempt still under way.
@@ -271,7 +317,7 @@
 
 // try describes the call to the retry policy.
 func (n *Node) try(c *callState) retry.Try {
-	return retry.Try{
+	t := retry.Try{
 		Idempotent: c.request.Idempotent(),
 		Replayable: c.request.Replayable,
 		BodyTaken:  c.bodyTaken,
@@ -279,6 +325,10 @@
 		Made:       c.made,
 		Deadline:   c.request.Deadline,
 	}
+	if c.route != nil {
+		t.Made, t.Refused, t.Most = c.reached, c.refused, c.route.Attempts()
+	}
+	return t
 }
 
 // close takes an attempt off the open ones.
--- a/node/message.go
+++ b/node/message.go
@@ -133,25 +133,50 @@
 	Version uint64
 }
 
+// InstancesListed brings the whole list of the users' store, as of a revision.
+type InstancesListed struct {
+	List     []membership.Listing
+	Revision uint64
+}
+
+// DocumentRead brings a document of the users' store, or the error that kept it
+// from being read.
+type DocumentRead struct {
+	Key  string
+	Body []byte
+	Err  error
+}
+
+// DocumentsComplete says that every document of the users' store has been read.
+type DocumentsComplete struct{}
+
+// StoreAnswered says that the users' store has answered a question that was
+// asked after the last RereadStore.
+type StoreAnswered struct{}
+
 // Tick says that time has passed. It must come several times a second.
 type Tick struct{}
 
 // Shutdown says that this daemon is to stop once its work is done.
 type Shutdown struct{}
 
-func (CallerRequest) message() {}
-func (CallerLeft) message()    {}
-func (AttemptEnded) message()  {}
-func (HedgeDue) message()      {}
-func (PeerRequest) message()   {}
-func (PeerLeft) message()      {}
-func (RunEnded) message()      {}
-func (HandOnEnded) message()   {}
-func (ProbeEnded) message()    {}
-func (PeerMessage) message()   {}
-func (IndexRead) message()     {}
-func (ValueRead) message()     {}
-func (ReadFailed) message()    {}
-func (InstancesRead) message() {}
-func (Tick) message()          {}
-func (Shutdown) message()      {}
+func (CallerRequest) message()     {}
+func (CallerLeft) message()        {}
+func (AttemptEnded) message()      {}
+func (HedgeDue) message()          {}
+func (PeerRequest) message()       {}
+func (PeerLeft) message()          {}
+func (RunEnded) message()          {}
+func (HandOnEnded) message()       {}
+func (ProbeEnded) message()        {}
+func (PeerMessage) message()       {}
+func (IndexRead) message()         {}
+func (ValueRead) message()         {}
+func (ReadFailed) message()        {}
+func (InstancesRead) message()     {}
+func (InstancesListed) message()   {}
+func (DocumentRead) message()      {}
+func (DocumentsComplete) message() {}
+func (StoreAnswered) message()     {}
+func (Tick) message()              {}
+func (Shutdown) message()          {}
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,24 @@
 	KeyWindow time.Duration
 	// Choose replaces package balance in experiments; nil keeps it.
 	Choose Choose
+	// Direct is true for a daemon that reads the users' store itself: nothing is
+	// spread, and every request must match a route.
+	Direct bool
+	// Assumed are the actions allowed until a switches document is read.
+	Assumed []config.Action
+	// Retry bounds further attempts over all daemons together.
+	Retry SharedBudget
+	// ProbesPerSecond bounds the probes of the own upstream where no document
+	// does.
+	ProbesPerSecond float64
+}
+
+// SharedBudget is what all daemons together may add to the requests of one
+// service: Share of the first sends, and Extra in each Window.
+type SharedBudget struct {
+	Share  float64
+	Extra  float64
+	Window time.Duration
 }
 
 // Choose picks one of the candidates, but none of those in avoid. It returns
@@ -44,6 +62,7 @@
 	cfg    Config
 	config *config.Set
 	view   *membership.View
+	// spread is nil for a daemon that reads the store itself.
 	spread *spread.State
 	// strangers holds the control addresses of daemons that no record names.
 	strangers map[string]string
@@ -53,6 +72,7 @@
 	sets     map[candidateKey]*candidateSet
 	pickers  map[string]*balance.Picker
 	policies map[string]*retry.Policy
+	splits   map[string]*split
 	links    *links
 	doubt    bool
 
@@ -90,13 +110,14 @@
 		cfg:    cfg,
 		config: config.NewSet(),
 		view: membership.New(membership.Config{
-			Self: cfg.Self, Incarnation: cfg.Incarnation, Started: cfg.Started,
+			Self: cfg.Self, Incarnation: cfg.Incarnation, Started: cfg.Started, WakeLimit: wakeLimit(cfg),
 		}),
 		strangers: map[string]string{},
 		calls:     map[string]*callState{},
 		sets:      map[candidateKey]*candidateSet{},
 		pickers:   map[string]*balance.Picker{},
 		policies:  map[string]*retry.Policy{},
+		splits:    map[string]*split{},
 		links:     newLinks(cfg.Self.AvailabilityZone),
 		runs:      map[string]*runState{},
 		gate:      admit.New(admit.Config{}),
@@ -110,11 +131,25 @@
 			Rand:    cfg.Rand,
 		}),
 	}
-	n.spread = n.newSpread(cfg.Started)
-	n.announce(cfg.Started)
+	n.config.Assume(cfg.Assumed)
+	if !cfg.Direct {
+		n.spread = n.newSpread(cfg.Started)
+		n.announce(cfg.Started)
+	}
 	return n
 }
 
+// directWakeLimit is how long a daemon that woke waits for the store. One that
+// reads the store has its answer within milliseconds, or not soon.
+const directWakeLimit = 2 * time.Second
+
+func wakeLimit(cfg Config) time.Duration {
+	if cfg.Direct {
+		return directWakeLimit
+	}
+	return membership.DefaultWakeLimit
+}
+
 // Update takes in one message and returns what is to be done, in order.
 func (n *Node) Update(m Message, now time.Time) []Command {
 	woke := n.wake(now)
@@ -160,6 +195,14 @@
 		return n.spreadActions(n.spread.Value(m.Key, m.Version, m.Body, now), now)
 	case InstancesRead:
 		return n.instancesRead(m, now)
+	case InstancesListed:
+		return n.instancesListed(m, now)
+	case DocumentRead:
+		return n.documentRead(m, now)
+	case DocumentsComplete:
+		return n.documentsComplete(now)
+	case StoreAnswered:
+		n.view.Fresh()
 	case ReadFailed:
 		return n.spreadActions(n.spread.Failed(m.Read, now), now)
 	}
@@ -172,6 +215,12 @@
 	if gap == 0 {
 		return nil
 	}
+	if n.direct() {
+		return []Command{
+			Note{Part: "node", Text: "The process was paused.", Warn: true, Fields: []any{"paused", gap}},
+			RereadStore{},
+		}
+	}
 	n.config.Doubt()
 	text := "The process was paused for " + gap.Round(time.Millisecond).String() + "."
 	out := []Command{Note{Part: "node", Text: text, Warn: true}}
@@ -180,14 +229,16 @@
 
 // tick does what is due by time alone.
 func (n *Node) tick(now time.Time) []Command {
-	n.doubt = n.view.Doubt(now)
+	n.doubt = !n.direct() && n.view.Doubt(now)
 	out := n.admit(n.gate.Tick(now), now)
-	if !now.Before(n.spread.WakeAt()) {
-		out = append(out, n.spreadActions(n.spread.Tick(now), now)...)
+	if !n.direct() {
+		if !now.Before(n.spread.WakeAt()) {
+			out = append(out, n.spreadTick(now)...)
+		}
+		n.confirm(now)
+		out = append(out, n.keepBook(now)...)
 	}
-	n.confirm(now)
 	out = append(out, n.limits(now)...)
-	out = append(out, n.keepBook(now)...)
 	out = append(out, n.tellSiblings(now)...)
 	out = append(out, n.keepSuspects(now)...)
 	return append(out, n.probe(now)...)
@@ -205,13 +256,16 @@
 	if n.view.Leave(now) {
 		n.announce(now)
 	}
-	return append(out, n.spreadActions(n.spread.Tick(now), now)...)
+	return append(out, n.spreadTick(now)...)
 }
 
 // Farewell returns the last messages of a daemon whose work is done: its keys
 // go to the other homes, and its record says that it is gone.
 func (n *Node) Farewell(now time.Time) []Command {
 	var out []Command
+	if n.direct() {
+		return out
+	}
 	audience := n.book.Audience()
 	last := n.book.Retire(now)
 	for _, id := range audience {
@@ -220,7 +274,7 @@
 	if n.view.Finish(now) {
 		n.announce(now)
 	}
-	return append(out, n.spreadActions(n.spread.Tick(now), now)...)
+	return append(out, n.spreadTick(now)...)
 }
 
 // Idle reports whether no request is under way here.
@@ -235,10 +289,16 @@
 	// whose calls are refused once they have been read.
 	fallbackTimeout = 2 * time.Second
 	fallbackBody    = 1 << 20
+	// routedTimeout bounds a caller that states no deadline until its route is
+	// known.
+	routedTimeout = 30 * time.Second
 )
 
 // Timeout returns the longest deadline of a service's calls.
 func (n *Node) Timeout(service string) time.Duration {
+	if n.cfg.Direct {
+		return routedTimeout
+	}
 	if s, ok := n.config.Service(service); ok {
 		return s.Limits().Timeout()
 	}
@@ -264,8 +324,21 @@
 	return s.Limits().Connections(), true
 }
 
+// ProbePath returns the path at which the own upstream tells its load.
+func (n *Node) ProbePath() string {
+	if routes := n.config.Routes(); routes != nil {
+		if e, ok := routes.Endpoint(n.cfg.Self.Service); ok {
+			return e.ProbePath()
+		}
+	}
+	return "/load"
+}
+
 // MaxBodyBytes returns the size of a service's longest request body.
 func (n *Node) MaxBodyBytes(service string) int64 {
+	if routes := n.config.Routes(); routes != nil {
+		return routes.MaxBodyBytes()
+	}
 	if s, ok := n.config.Service(service); ok {
 		return s.Limits().MaxBodyBytes()
 	}
--- /dev/null
+++ b/node/route.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/config"
+)
+
+// split keeps the parts of one route to their shares: smooth weighted round
+// robin, as in nginx. Each part's credit grows by its weight with each request,
+// and the part with the most credit pays for the request.
+type split struct {
+	parts  []config.Part
+	credit []int
+}
+
+// route finds the route of a request and fills in what it says. The reason is
+// set when there is none.
+func (n *Node) route(c *callState, now time.Time) (call.Reason, bool) {
+	routes := n.config.Routes()
+	if routes == nil {
+		if n.cfg.Direct {
+			return call.NoConfiguration, false
+		}
+		return "", true
+	}
+	route, ok := routes.Find(c.request.Host, c.request.Path)
+	if !ok {
+		return call.UnknownService, false
+	}
+	c.route = route
+	c.request.Service = n.part(route)
+	c.request.Repeat = call.Unsafe
+	if route.Idempotent() {
+		c.request.Repeat = call.Safe
+	}
+	c.request.Priority = call.Ranked(route.Rank())
+	c.bound(now.Add(route.Timeout()))
+	return "", true
+}
+
+// bound brings the deadline forward to latest.
+func (c *callState) bound(latest time.Time) {
+	if c.request.Deadline.IsZero() || c.request.Deadline.After(latest) {
+		c.request.Deadline = latest
+	}
+}
+
+// part names the service whose turn it is.
+func (n *Node) part(route *config.Route) string {
+	parts := route.Parts()
+	if len(parts) == 1 {
+		return parts[0].Service()
+	}
+	s := n.splits[route.Name()]
+	if s == nil || !slices.Equal(s.parts, parts) {
+		s = n.newSplit(parts)
+		n.splits[route.Name()] = s
+	}
+	return s.next()
+}
+
+// newSplit starts at a random place of the round, so that daemons which start
+// together do not all begin with the same part.
+func (n *Node) newSplit(parts []config.Part) *split {
+	s := &split{parts: parts, credit: make([]int, len(parts))}
+	total := 0
+	for _, p := range parts {
+		total += p.Weight()
+	}
+	for i, p := range parts {
+		s.credit[i] = int(n.cfg.Rand()%uint64(total)) * p.Weight() / total
+	}
+	return s
+}
+
+func (s *split) next() string {
+	best, total := 0, 0
+	for i, p := range s.parts {
+		s.credit[i] += p.Weight()
+		total += p.Weight()
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best] -= total
+	return s.parts[best].Service()
+}
--- a/node/status.go
+++ b/node/status.go
@@ -33,6 +33,9 @@
 // Ready reports whether the daemon holds the switches and the document of its
 // own service, knows that they are the fleet's, and is not stopping.
 func (n *Node) Ready() bool {
+	if n.direct() {
+		return n.config.Routes() != nil && !n.stopping
+	}
 	_, service := n.config.Service(n.cfg.Self.Service)
 	_, switches := n.config.Document(config.KeySwitches)
 	return service && switches && n.config.Confirmed() && !n.stopping
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -59,7 +59,7 @@
 	if n.view.UpstreamLeaving(now) {
 		n.announce(now)
 	}
-	return append(out, n.spreadActions(n.spread.Tick(now), now)...)
+	return append(out, n.spreadTick(now)...)
 }
 
 // upstreamReturns accepts work again.
@@ -69,5 +69,5 @@
 	if n.view.UpstreamReturned(now) {
 		n.announce(now)
 	}
-	return append(out, n.spreadActions(n.spread.Tick(now), now)...)
+	return append(out, n.spreadTick(now)...)
 }
--- a/platform/hold.go
+++ b/registry/hold.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"fmt"
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -16,11 +16,20 @@
 type bucket struct {
 	tokens  float64
 	counted time.Time
+	// size is the most tokens held; bucketSize when zero.
+	size float64
+}
+
+func (b *bucket) most() float64 {
+	if b.size == 0 {
+		return bucketSize
+	}
+	return b.size
 }
 
 // deposit adds the share that one first attempt gives.
 func (b *bucket) deposit(percent float64) {
-	b.tokens = min(bucketSize, b.tokens+percent/100)
+	b.tokens = min(b.most(), b.tokens+percent/100)
 }
 
 // withdraw takes one attempt out, if there is one. floor is what is given in
@@ -40,7 +49,7 @@
 		return
 	}
 	if !b.counted.IsZero() {
-		b.tokens = min(bucketSize, b.tokens+floor*now.Sub(b.counted).Seconds())
+		b.tokens = min(b.most(), b.tokens+floor*now.Sub(b.counted).Seconds())
 	}
 	b.counted = now
 }
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -19,6 +19,11 @@
 	Hedge bool
 	// HedgePercent is the share of first attempts that may be hedged.
 	HedgePercent float64
+	// Floor is the number of retries per second that are given whatever the
+	// number of calls, and Saved the most that are saved up; the package's own
+	// when Saved is zero.
+	Floor float64
+	Saved float64
 }
 
 // Policy decides on further attempts of one service's calls. It is not safe
@@ -52,6 +57,7 @@
 	if config.HedgePercent == 0 {
 		p.hedges.tokens = 0
 	}
+	p.retries.size = config.Saved
 	p.config = config
 }
 
@@ -86,11 +92,23 @@
 	return verdict
 }
 
+// Elsewhere says whether a call that a daemon turned away may be tried at
+// another. No upstream has seen it, so it costs the budget nothing.
+func (p *Policy) Elsewhere(t Try, now time.Time) Verdict {
+	if !p.config.Retry {
+		return refuse(RuleOff)
+	}
+	return decideElsewhere(t, now)
+}
+
 // floor returns the retries that are given in a second; none when the
 // operators allow none.
 func (p *Policy) floor() float64 {
-	if p.config.RetryPercent == 0 {
+	switch {
+	case p.config.RetryPercent == 0:
 		return 0
+	case p.config.Saved > 0:
+		return p.config.Floor
 	}
 	return floorPerSecond
 }
--- a/retry/try.go
+++ b/retry/try.go
@@ -9,6 +9,10 @@
 // MaxAttempts is the most attempts that a call gets, here and above.
 const MaxAttempts = 3
 
+// maxRefused is the number of daemons that may turn a call away before it is
+// given up: more would say the same.
+const maxRefused = 3
+
 // Try describes a call of which at least one attempt was made.
 type Try struct {
 	// Idempotent is true when running the call twice is the same as once.
@@ -19,8 +23,12 @@
 	BodyTaken bool
 	// Above is the attempt number that came with the call.
 	Above int
-	// Made counts the attempts made here.
-	Made int
+	// Made counts the attempts made here; Refused those among the others that a
+	// daemon turned away before an upstream saw them, where they are told apart.
+	Made    int
+	Refused int
+	// Most bounds the attempts; 0 means MaxAttempts.
+	Most int
 	// Last is what became of the last attempt.
 	Last call.Outcome
 	// Failed is true when Last is Run and the answer shows a fault of that
@@ -72,7 +80,7 @@
 		return refuse(RuleNotIdempotent)
 	case t.BodyTaken && !t.Replayable:
 		return refuse(RuleBody)
-	case t.Attempt() >= MaxAttempts:
+	case t.Attempt() >= t.most():
 		return refuse(RuleAttempts)
 	case !proved && t.Above > 0:
 		return refuse(RuleDepth)
@@ -80,6 +88,25 @@
 	return t.inTime(now)
 }
 
+func (t Try) most() int {
+	if t.Most == 0 {
+		return MaxAttempts
+	}
+	return t.Most
+}
+
+// decideElsewhere says whether a request that a daemon turned away may be tried
+// at another.
+func decideElsewhere(t Try, now time.Time) Verdict {
+	switch {
+	case t.BodyTaken && !t.Replayable:
+		return refuse(RuleBody)
+	case t.Refused > maxRefused:
+		return refuse(RuleAttempts)
+	}
+	return t.inTime(now)
+}
+
 // decideHedge says whether a second attempt may be made beside the first,
 // which has not ended.
 func decideHedge(t Try, now time.Time) Verdict {
