--- a/admit/admit.go
+++ b/admit/admit.go
@@ -41,6 +41,9 @@
 	// Shed allows ordering by priority and deadline, eviction, and refusal by
 	// predicted wait. Without it the queue is first in, first out.
 	Shed bool
+	// Paced starts calls only on a fresh reading of the upstream's pace, and
+	// turns them away or holds them while it is slow.
+	Paced bool
 }
 
 // Config holds the settings of a Gate. New puts defaults in place of zero
@@ -69,6 +72,9 @@
 	// Cancel passes the caller's cancellation on to the upstream. The slot
 	// stays in use until Finish.
 	Cancel Kind = "cancel"
+	// Measure reads the upstream's pace; Measured or Unmeasured answers it. It
+	// belongs to no call.
+	Measure Kind = "measure"
 )
 
 // Action is one thing to be done for one call.
@@ -86,6 +92,7 @@
 	running    map[string]bool // true once cancelled
 	queue      queue
 	service    average
+	pace       pace
 	draining   bool
 	seen       time.Time
 	woke       time.Time
@@ -118,6 +125,10 @@
 	if reason, refused := g.refusal(req, now); refused {
 		return append(actions, refuse(req.ID, reason))
 	}
+	if g.limits.Paced && len(g.running) < g.limits.Slots {
+		g.queue.push(req)
+		return append(actions, g.fill(now)...)
+	}
 	if len(g.running) < g.limits.Slots {
 		return append(actions, g.start(req.ID))
 	}
@@ -134,7 +145,7 @@
 	}
 	delete(g.running, callID)
 	g.service.add(serviceTime)
-	return append(actions, g.fill()...)
+	return append(actions, g.fill(now)...)
 }
 
 // Leave takes note that the caller has gone. A queued call is refused; for a
@@ -167,15 +178,21 @@
 func (g *Gate) Open() { g.draining = false }
 
 // Tick refuses queued calls whose deadline has passed.
-func (g *Gate) Tick(now time.Time) []Action { return g.advance(now) }
+func (g *Gate) Tick(now time.Time) []Action {
+	actions := g.advance(now)
+	if g.limits.Paced {
+		actions = append(actions, g.fill(now)...)
+	}
+	return actions
+}
 
 // Resize puts new limits in force. Running calls are left alone; queued ones
 // beyond the new bound are refused, the least urgent first.
 func (g *Gate) Resize(limits Limits, now time.Time) []Action {
 	actions := g.advance(now)
-	g.limits = Limits{Slots: max(limits.Slots, 0), Queue: max(limits.Queue, 0), Shed: limits.Shed}
+	g.limits = Limits{Slots: max(limits.Slots, 0), Queue: max(limits.Queue, 0), Shed: limits.Shed, Paced: limits.Paced}
 	g.queue.reorder(limits.Shed)
-	actions = append(actions, g.fill()...)
+	actions = append(actions, g.fill(now)...)
 	for g.queue.len() > g.limits.Queue {
 		actions = append(actions, refuse(g.queue.popLast().req.ID, call.Overloaded))
 	}
--- a/admit/decide.go
+++ b/admit/decide.go
@@ -91,7 +91,10 @@
 
 // fill starts queued calls while slots are free. advance has already removed
 // those past their deadline.
-func (g *Gate) fill() []Action {
+func (g *Gate) fill(now time.Time) []Action {
+	if g.limits.Paced {
+		return g.fillPaced(now)
+	}
 	var actions []Action
 	for !g.draining && len(g.running) < g.limits.Slots && g.queue.len() > 0 {
 		actions = append(actions, g.start(g.queue.popFirst().req.ID))
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -45,7 +45,7 @@
 }
 
 func (p *Picker) costOf(u *upstream, calls float64, now time.Time) float64 {
-	service := p.service(u, now)
+	service := p.service(u, now) * u.pace(now)
 	cost := service + wait(calls, u.load.Slots, service)
 	if oldest := u.oldest(); !oldest.IsZero() {
 		cost = max(cost, float64(now.Sub(oldest))/overdueFactor)
@@ -59,6 +59,23 @@
 	return cost
 }
 
+const (
+	// paceLife is the time in which a reading of the pace loses 63 %.
+	paceLife = 300 * time.Millisecond
+	// usualPace is the pace, in percent, of an upstream that nothing slows down.
+	usualPace = 100
+)
+
+// pace returns how much longer than usual work is expected to take there, as a
+// factor. What was read fades to what is usual.
+func (u *upstream) pace(now time.Time) float64 {
+	if u.load.Pace == 0 {
+		return 1
+	}
+	read := float64(u.load.Pace) / usualPace
+	return 1 + (read-1)*fade(now.Sub(u.measured), paceLife)
+}
+
 // service returns the expected time in a slot, in nanoseconds.
 func (p *Picker) service(u *upstream, now time.Time) float64 {
 	known, at := float64(u.load.ServiceTime), u.measured
--- a/balance/load.go
+++ b/balance/load.go
@@ -36,6 +36,9 @@
 	FailPercent int
 	// Age is how old the figures were when they were sent.
 	Age time.Duration
+	// Pace is how long work takes at the upstream at this moment, in percent of
+	// the usual; 0 when not known.
+	Pace int
 }
 
 // ErrLoad is returned for a load report that cannot be read.
@@ -48,8 +51,8 @@
 )
 
 // Append adds the text form to b: state, in flight, queued, slots, service
-// time in microseconds, failed per cent and age in microseconds, with commas
-// between. Durations lose what is below a microsecond.
+// time in microseconds, failed per cent, age in microseconds and the pace in per
+// cent where it is known, with commas between. Durations lose what is below a microsecond.
 func (l Load) Append(b []byte) []byte {
 	b = append(b, l.State...)
 	numbers := [...]int64{
@@ -60,6 +63,10 @@
 		b = append(b, ',')
 		b = strconv.AppendInt(b, min(max(n, 0), maxLoadNumber), 10)
 	}
+	if l.Pace > 0 {
+		b = append(b, ',')
+		b = strconv.AppendInt(b, min(int64(l.Pace), maxLoadNumber), 10)
+	}
 	return b
 }
 
@@ -74,6 +81,15 @@
 	if !ok {
 		return Load{}, fmt.Errorf("read state: %w", ErrLoad)
 	}
+	if word, pace, ok := cutLast(rest, loadFields-1); ok {
+		l, err := ParseLoad(append(append([]byte(state), ','), word...))
+		n, valid := parseNumber(pace)
+		if err != nil || !valid || n == 0 {
+			return Load{}, fmt.Errorf("read pace: %w", ErrLoad)
+		}
+		l.Pace = int(n)
+		return l, nil
+	}
 	var numbers [loadFields - 1]int64
 	for i := range numbers {
 		var field []byte
@@ -99,6 +115,15 @@
 	}, nil
 }
 
+// cutLast cuts off what follows the first n fields, if that is one field more.
+func cutLast(b []byte, n int) (before, last []byte, ok bool) {
+	if bytes.Count(b, []byte{','}) != n {
+		return nil, nil, false
+	}
+	at := bytes.LastIndexByte(b, ',')
+	return b[:at], b[at+1:], true
+}
+
 func parseState(b []byte) (State, bool) {
 	for _, state := range [...]State{Serving, Cold, Draining, Down} {
 		if string(b) == string(state) {
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -180,3 +180,24 @@
 		}
 	}
 }
+
+// Choice is what a choice rested on, for the log.
+type Choice struct {
+	// Cost is the time that a call is expected to take at the upstream.
+	Cost time.Duration
+	// LoadAge is how old the last load report is; 0 when there was none.
+	LoadAge time.Duration
+	// Candidates is the number of upstreams that the selector allows.
+	Candidates int
+}
+
+// Choice tells what is known of an upstream that was chosen among candidates.
+func (p *Picker) Choice(id string, candidates int, now time.Time) Choice {
+	u := p.upstream(id)
+	_, mean := p.cost(u, now)
+	c := Choice{Cost: time.Duration(mean), Candidates: candidates}
+	if !u.measured.IsZero() {
+		c.LoadAge = now.Sub(u.measured)
+	}
+	return c
+}
--- a/call/header.go
+++ b/call/header.go
@@ -33,4 +33,7 @@
 	HeaderRepeat      = "Pomelodoor-Repeat"
 	HeaderUpstream    = "Pomelodoor-Upstream"
 	HeaderService     = "Pomelodoor-Service"
+	HeaderRoute       = "Pomelodoor-Route"
+	HeaderPatient     = "Pomelodoor-Patient"
+	HeaderToken       = "Pomelodoor-Token"
 )
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -34,6 +34,7 @@
 	Quarantined      Reason = "quarantined"
 	Replayed         Reason = "replayed"
 	ShortBody        Reason = "shortBody"
+	Slow             Reason = "slow"
 	Stale            Reason = "stale"
 	UnknownService   Reason = "unknownService"
 	UpstreamCrashed  Reason = "upstreamCrashed"
--- a/call/request.go
+++ b/call/request.go
@@ -63,6 +63,14 @@
 	Method string
 	// Repeat is what the route says of running the request twice.
 	Repeat Repeat
+	// Route is the name of the route, where there are routes.
+	Route string
+	// Work is how long the request is expected to hold a slot at the usual pace;
+	// 0 when not known.
+	Work time.Duration
+	// Patient is true when the request is not to be turned away for a slow spell
+	// of the upstream: there is nowhere better.
+	Patient bool
 	// Upstream names the life of the upstream that may run the request; empty
 	// means any.
 	Upstream string
--- a/cmd/pomelodoor/main.go
+++ b/cmd/pomelodoor/main.go
@@ -76,7 +76,7 @@
 func dispatch(a *arguments, out, errOut io.Writer) error {
 	switch {
 	case a.Run != nil:
-		return runDaemon(a.Run, errOut)
+		return runDaemon(a.Run, out)
 	case a.Check != nil:
 		return a.Check.run(out)
 	case a.Explain != nil:
--- a/cmd/pomelodoor/run.go
+++ b/cmd/pomelodoor/run.go
@@ -7,12 +7,17 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 
 	"pomelodoor.example/pomelodoor/daemon"
+	"pomelodoor.example/pomelodoor/logline"
 )
 
+// logTime bounds the writing of the last log lines.
+const logTime = 200 * time.Millisecond
+
 // runDaemon runs until it is told to stop, then shuts down gracefully.
 func runDaemon(settings *daemon.Settings, logTo io.Writer) error {
 	if err := settings.Check(); err != nil {
@@ -23,7 +28,9 @@
 	// The flags do not change while a daemon runs, so there is nothing to read
 	// again.
 	signal.Ignore(syscall.SIGHUP)
-	d, err := daemon.Start(*settings, newLogger(settings, logTo), daemon.Seams{})
+	lines := logline.New(logline.Config{To: logTo})
+	defer lines.Close(logTime)
+	d, err := daemon.Start(*settings, newLogger(settings, lines), daemon.Seams{Lines: lines})
 	if err != nil {
 		return fmt.Errorf("start the daemon: %w", err)
 	}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -62,7 +62,9 @@
 	d.update(node.CallerRequest{Request: request})
 	outcome, reason := c.serve(done)
 	d.endIfLeaving(ctx)
-	d.record(request.Service, outcome, reason, ctx.Response.StatusCode(), time.Since(now))
+	took := time.Since(now)
+	d.record(request.Service, outcome, reason, ctx.Response.StatusCode(), took)
+	d.lineAnswered(request, outcome, reason, ctx.Response.StatusCode(), took)
 }
 
 // endIfLeaving lets the connection end with this answer if the daemon is
@@ -152,6 +154,7 @@
 // forward starts one attempt. The request is copied here, because the handler's
 // own may only be touched by this goroutine.
 func (c *callerCall) forward(f node.Forward) {
+	c.d.lineForwarded(f)
 	ctx, cancel := context.WithDeadline(c.waiting, f.Request.Deadline)
 	out := &outgoing{cancel: cancel}
 	c.mu.Lock()
@@ -169,6 +172,7 @@
 		a := c.d.send(ctx, f, req)
 		fasthttp.ReleaseRequest(req)
 		a.result.BodyTaken = c.body.Taken()
+		c.d.lineAttempt(f, a.result)
 		c.mu.Lock()
 		out.answer = a
 		c.mu.Unlock()
@@ -243,6 +247,7 @@
 	call.Overloaded:       "the upstreams are full",
 	call.Quarantined:      "requests like this one have crashed upstreams",
 	call.ShortBody:        "the request body was cut short",
+	call.Slow:             "the upstream is slow at this moment",
 	call.Stale:            "the daemon has old knowledge",
 	call.UnknownService:   "no service has the name in the Host header",
 	call.UpstreamCrashed:  "the upstream crashed while it ran the request",
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -23,6 +23,8 @@
 			d.probing.cancel()
 		case node.ReadPlatform:
 			d.loop(func() { d.readPlatform(c.Read) })
+		case node.WakeGate:
+			time.AfterFunc(c.After, func() { d.update(node.GateDue{}) })
 		case node.RereadStore:
 			d.follows.restart()
 		case node.Send:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,12 +42,15 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Choose picks upstreams in place of package balance.
 	Choose node.Choose
+	// Lines bounds the log lines on single requests; nil writes none.
+	Lines Lines
 }
 
 // Daemon is one running pomelodoor process.
 type Daemon struct {
 	settings    Settings
 	log         *log.Logger
+	lines       Lines
 	self        membership.Instance
 	incarnation uint64
 	started     time.Time
@@ -105,7 +108,9 @@
 	if settings.direct() {
 		d.followStore()
 	}
-	d.part("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation)
+	d.part("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation,
+		"service", settings.Service, "availabilityZone", settings.AvailabilityZone, "listen", settings.Listen, "peer", settings.Peer,
+		"upstream", settings.Upstream, "bounds", settings.bounds.String())
 	return d, nil
 }
 
@@ -127,7 +132,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{
-		settings: settings, log: logger, self: self, incarnation: incarnation, started: started,
+		settings: settings, log: logger, lines: seams.Lines, self: self, incarnation: incarnation, started: started,
 		node: node.New(node.Config{
 			Self: self, Incarnation: incarnation, Started: started, Rand: rand.Uint64, Choose: seams.Choose,
 			FleetSize: settings.FleetSize,
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -156,6 +156,7 @@
 		return d.handOn(ctx, c, req)
 	case node.Refuse:
 		d.runs.remove(request.ID)
+		d.lineTurnedAway(request, c)
 		return refused(c)
 	}
 	return &answer{result: node.Attempt{Outcome: call.Unknown, Reason: call.InProgress}}
@@ -204,7 +205,7 @@
 	start := time.Now()
 	if !r.Before.IsZero() && !start.Before(r.Before) {
 		cancel()
-		outcome := d.ended(node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
+		outcome := d.ended(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
 		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Stale}}
 	}
 	d.dialect.Onward(&req.Header, request, start)
@@ -219,7 +220,7 @@
 		}
 		cancel()
 		fasthttp.ReleaseResponse(resp)
-		outcome = d.ended(node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
+		outcome = d.ended(request, node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
 		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
 	}
 	told := d.dialect.Answer(resp)
@@ -227,7 +228,10 @@
 		cancel()
 		return d.shed(request, resp, told, time.Since(start))
 	}
-	end := node.RunEnded{ID: request.ID, Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode()}
+	end := node.RunEnded{
+		ID: request.ID, Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode(),
+		Reading: told.Reading, HasReading: told.HasReading,
+	}
 	a := &answer{response: resp, result: node.Attempt{
 		Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode(),
 	}}
@@ -235,14 +239,14 @@
 		a.done = func() {
 			end.Latency = time.Since(start)
 			cancel()
-			d.ended(end)
+			d.ended(request, end)
 		}
 		return a
 	}
 	cancel()
 	end.Latency = time.Since(start)
 	end.Body = resp.Body()
-	d.ended(end)
+	d.ended(request, end)
 	return a
 }
 
@@ -254,7 +258,10 @@
 	}
 	_ = resp.CloseBodyStream()
 	fasthttp.ReleaseResponse(resp)
-	outcome := d.ended(node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: reason, Latency: took})
+	outcome := d.ended(request, node.RunEnded{
+		ID: request.ID, Outcome: call.NotRun, Reason: reason, Latency: took,
+		Reading: told.Reading, HasReading: told.HasReading,
+	})
 	return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
 }
 
@@ -275,8 +282,9 @@
 
 // ended tells the node of a run's end, and returns what may be told of it. The
 // mailbox closes first: nothing more can come for this request.
-func (d *Daemon) ended(m node.RunEnded) call.Outcome {
+func (d *Daemon) ended(request call.Request, m node.RunEnded) call.Outcome {
 	d.runs.remove(m.ID)
+	d.lineRun(request, m)
 	return settled(d.update(m), m.ID, m.Outcome)
 }
 
--- a/daemon/reservations.go
+++ b/daemon/reservations.go
@@ -96,7 +96,7 @@
 func (r *reservation) release() {
 	switch r.decision.(type) {
 	case node.Run:
-		r.d.ended(node.RunEnded{ID: r.request.ID, Outcome: call.NotRun, Reason: call.ShortBody})
+		r.d.ended(r.request, node.RunEnded{ID: r.request.ID, Outcome: call.NotRun, Reason: call.ShortBody})
 	case node.HandOn:
 		r.d.runs.remove(r.request.ID)
 		r.d.update(node.HandOnEnded{ID: r.request.ID, Result: node.Attempt{Outcome: call.NotRun, Reason: call.ShortBody}})
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -30,7 +30,7 @@
 	Platform         []string `arg:"--platform,env:POMELODOOR_PLATFORM" help:"IP:PORT of the registry of documents and instances; several are tried in turn"`
 	Store            string   `arg:"--store,env:POMELODOOR_STORE" help:"IP:PORT of the users' store, in place of --platform"`
 	Ready            string   `arg:"--ready,env:POMELODOOR_READY" help:"IP:PORT of HTTP that answers 200 while this daemon takes callers"`
-	Bounds           string   `arg:"--bounds,env:POMELODOOR_BOUNDS" help:"what the users' platform asks of the process, as name=value with commas between"`
+	Bounds           string   `arg:"--bounds,env:POMELODOOR_BOUNDS" help:"what the users' platform asks of the process, as a JSON object"`
 	Assume           []string `arg:"--assume,env:POMELODOOR_ASSUME" help:"actions allowed while the users' store holds no switches document"`
 	FleetSize        int      `arg:"--fleet-size,env:POMELODOOR_FLEET_SIZE" default:"3000" placeholder:"N" help:"most instances that may start at once; the platform is read accordingly seldom until the list is known"`
 	LogLevel         string   `arg:"--log-level,env:POMELODOOR_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
@@ -145,6 +145,12 @@
 // sharedBounds are the bounds in the words of package node.
 type sharedBounds struct{ platform.Bounds }
 
+// String returns the bounds as the log shows them.
+func (b sharedBounds) String() string {
+	return fmt.Sprintf("stopWithin=%s retryShare=%g retryExtra=%g retryWindow=%s probesPerSecond=%g",
+		b.StopWithin, b.RetryShare, b.RetryExtra, b.RetryWindow, b.ProbesPerSecond)
+}
+
 func (b sharedBounds) retry() node.SharedBudget {
 	return node.SharedBudget{Share: b.RetryShare, Extra: b.RetryExtra, Window: b.RetryWindow}
 }
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -83,6 +83,9 @@
 	}
 	r.Repeat = call.Repeat(h.Peek(call.HeaderRepeat))
 	r.Upstream = string(h.Peek(call.HeaderUpstream))
+	r.Token = string(h.Peek(call.HeaderToken))
+	r.Route = string(h.Peek(call.HeaderRoute))
+	r.Patient = string(h.Peek(call.HeaderPatient)) == granted
 	r.ID = string(h.Peek(call.HeaderCall))
 	if r.ID == "" {
 		return Forwarded{}, fmt.Errorf("%w: no call id", ErrRequest)
@@ -124,13 +127,22 @@
 	if f.Request.Upstream != "" {
 		h.Set(call.HeaderUpstream, f.Request.Upstream)
 	}
+	if f.Request.Route != "" {
+		h.Set(call.HeaderRoute, f.Request.Route)
+	}
+	if f.Request.Patient {
+		h.Set(call.HeaderPatient, granted)
+	}
+	if f.Request.Token != "" {
+		h.Set(call.HeaderToken, f.Request.Token)
+	}
 	if f.Request.Granted {
 		h.Set(call.HeaderGranted, granted)
 	}
 	WriteOnward(h, f.Request, now)
 }
 
-// granted is the value of call.HeaderGranted.
+// granted is the value of call.HeaderGranted and call.HeaderPatient.
 const granted = "1"
 
 // WriteOnward puts onto a request's headers what an upstream may pass on with
@@ -158,7 +170,8 @@
 	call.HeaderFrom, call.HeaderTarget, call.HeaderIncarnation, call.HeaderHops,
 	call.HeaderPriority, call.HeaderFingerprint, call.HeaderLoad, call.HeaderCall,
 	call.HeaderGranted, call.HeaderSpent, call.HeaderOutcome, call.HeaderReason,
-	call.HeaderRepeat, call.HeaderUpstream, call.HeaderService,
+	call.HeaderRepeat, call.HeaderUpstream, call.HeaderService, call.HeaderToken,
+	call.HeaderRoute, call.HeaderPatient,
 }
 
 // serviceName takes the service from a Host header.
--- a/measure/meter.go
+++ b/measure/meter.go
@@ -18,8 +18,10 @@
 const (
 	// defaultTimeout is how long a probe may take.
 	defaultTimeout = time.Second
-	// bucketSize is the number of probes that can be saved up.
+	// bucketSize is the number of probes that can be saved up, and burstSize
+	// that of probes that are asked for.
 	bucketSize = 1.0
+	burstSize  = 20.0
 	// shortestWait and longestWait bound the time to the next call of Next.
 	shortestWait = time.Millisecond
 	longestWait  = time.Hour
@@ -43,6 +45,7 @@
 	started   time.Time // of the probe under way
 	underWay  bool
 	cancelled bool
+	asked     bool // probes come by Ask
 	sent      uint64
 	failures  int
 	reading   Reading
@@ -92,6 +95,19 @@
 	return Probe, now.Add(m.config.Timeout)
 }
 
+// Ask starts a probe that is wanted now, if the budget has one and none is under
+// way. Such probes come as requests do, so a few can be saved up.
+func (m *Meter) Ask(now time.Time) bool {
+	m.asked = true
+	m.count(now)
+	if m.underWay || m.perSecond == 0 || m.tokens < 1 {
+		return false
+	}
+	m.underWay, m.cancelled, m.started = true, false, m.counted
+	m.sent++
+	return true
+}
+
 // watch handles a probe under way. One that has timed out stays under way
 // until Done, because the upstream may still be busy with it.
 func (m *Meter) watch(now time.Time) (Action, time.Time) {
@@ -118,7 +134,12 @@
 		return
 	}
 	m.count(now)
-	m.underWay, m.tokens = false, 0
+	m.underWay = false
+	if m.asked {
+		m.tokens--
+	} else {
+		m.tokens = 0
+	}
 	if err != nil || m.cancelled {
 		m.failures++
 		return
@@ -148,11 +169,18 @@
 		return
 	}
 	if !m.counted.IsZero() {
-		m.tokens = min(bucketSize, m.tokens+m.perSecond*now.Sub(m.counted).Seconds())
+		m.tokens = min(m.size(), m.tokens+m.perSecond*now.Sub(m.counted).Seconds())
 	}
 	m.counted = now
 }
 
+func (m *Meter) size() float64 {
+	if m.asked {
+		return burstSize
+	}
+	return bucketSize
+}
+
 // untilToken returns the time until the bucket holds a probe.
 func (m *Meter) untilToken() time.Duration {
 	seconds := (bucketSize - m.tokens) / m.perSecond
--- a/node/admission.go
+++ b/node/admission.go
@@ -19,6 +19,8 @@
 	// must do before the time before.
 	granted bool
 	before  time.Time
+	// pace is the upstream's pace at the start, in percent; 0 when not known.
+	pace int
 	// watched is true while the quarantine counts the request as in flight.
 	watched bool
 	// handedTo names the sibling that was given the request.
@@ -38,6 +40,8 @@
 	}
 	run := &runState{request: m.Request, from: m.From}
 	n.runs[id] = run
+	n.remember(m.From, now)
+	run.request.Work = n.work[run.request.Route]
 	if run.request.Keyed() && !run.request.Granted {
 		return n.decide(n.book.Begin(m.Request, now), now)
 	}
@@ -109,6 +113,10 @@
 func (n *Node) admit(actions []admit.Action, now time.Time) []Command {
 	var out []Command
 	for _, a := range actions {
+		if a.Kind == admit.Measure {
+			out = append(out, n.measureNow(now)...)
+			continue
+		}
 		run := n.runs[a.CallID]
 		if run == nil {
 			continue
@@ -133,6 +141,7 @@
 		return append(out, n.admit(n.gate.Finish(run.request.ID, 0, now), now)...)
 	}
 	run.started = now
+	run.pace, _ = n.gate.Pace()
 	return []Command{Run{ID: run.request.ID, Before: run.before}}
 }
 
@@ -146,15 +155,19 @@
 	out := n.settleEnded(run, m, now)
 	out = append(out, n.endTrial(run, m, now)...)
 	failed := m.Outcome != call.Run || faulty(m.Status)
-	service := m.Latency
-	if failed {
-		service = 0
+	service := time.Duration(0)
+	if !failed {
+		service = n.learnWork(run, m.Latency)
 	}
 	if m.Reason != call.Cancelled {
 		// What the caller cancelled shows nothing of the upstream.
 		n.own.Observe(m.Latency, failed, now)
 	}
-	return append(out, n.admit(n.gate.Finish(m.ID, service, now), now)...)
+	out = append(out, n.admit(n.gate.Finish(m.ID, service, now), now)...)
+	if m.HasReading {
+		out = append(out, n.heardOwn(m.Reading, now)...)
+	}
+	return out
 }
 
 // peerLeft drops a request that nobody waits for.
@@ -174,11 +187,7 @@
 	if !ok {
 		return nil
 	}
-	l := service.Limits()
-	want := admit.Limits{Slots: l.Slots(), Queue: l.Queue(), Shed: n.config.Allowed(config.Shed)}
-	if slots := n.view.Self().Slots; slots > 0 {
-		want.Slots, want.Queue = slots, queuePerSlot*slots
-	}
+	want := n.gateLimits(service)
 	if want == n.gate.Limits() {
 		return nil
 	}
@@ -196,6 +205,9 @@
 		ServiceTime: l.ServiceTime,
 		FailPercent: int(100 * n.own.FailShare(now)),
 	}
+	if pace, at := n.gate.Pace(); pace > 0 {
+		load.Pace, load.Age = pace, now.Sub(at)
+	}
 	switch {
 	case l.Draining || n.leaving():
 		load.State = balance.Draining
@@ -211,9 +223,6 @@
 // upstream is reported as down.
 const downAfterFailures = 3
 
-// queuePerSlot bounds the queue of an upstream whose slots the list tells.
-const queuePerSlot = 2
-
 // leaving reports whether new work is refused for good or until the upstream
 // returns.
 func (n *Node) leaving() bool {
--- a/node/command.go
+++ b/node/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/peer"
@@ -23,6 +24,8 @@
 	Incarnation uint64
 	// Request is what to send on, with an ID of its own.
 	Request call.Request
+	// Choice is what the choice of the instance rests on.
+	Choice balance.Choice
 }
 
 // CancelForward ends an attempt whose answer is no longer wanted.
@@ -107,6 +110,11 @@
 	Read spread.Read
 }
 
+// WakeGate asks for a GateDue after a delay.
+type WakeGate struct {
+	After time.Duration
+}
+
 // RereadStore ends the watches of the users' store and asks it anew.
 type RereadStore struct{}
 
@@ -140,6 +148,7 @@
 func (Probe) command()         {}
 func (CancelProbe) command()   {}
 func (ReadPlatform) command()  {}
+func (WakeGate) command()      {}
 func (RereadStore) command()   {}
 func (Send) command()          {}
 func (Note) command()          {}
--- a/node/control.go
+++ b/node/control.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"time"
 
-	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/once"
 	"pomelodoor.example/pomelodoor/peer"
 	"pomelodoor.example/pomelodoor/spread"
@@ -30,7 +29,7 @@
 		}
 		return n.spreadActions(n.spread.Receive(body, now), now)
 	case kindLoad:
-		return n.siblingLoad(e.From, e.Body, now)
+		n.loadHeard(e.From, e.Body, now)
 	case kindSuspects:
 		n.suspectsHeard(e.Body, now)
 	case kindHeartbeat:
@@ -101,17 +100,3 @@
 	}
 	return out
 }
-
-// siblingLoad takes in the load of another upstream of the own service.
-func (n *Node) siblingLoad(from string, body json.RawMessage, now time.Time) []Command {
-	var text loadText
-	if json.Unmarshal(body, &text) != nil {
-		return nil
-	}
-	load, err := balance.ParseLoad([]byte(text.Load))
-	service, ok := n.config.Service(n.cfg.Self.Service)
-	if err == nil && ok {
-		n.picker(service).Heard(from, load, now)
-	}
-	return nil
-}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -25,6 +25,8 @@
 	// a daemon turned away before.
 	reached int
 	refused int
+	// patient is set when the request waits out a slow spell where it is.
+	patient bool
 	// tried names the upstreams that have had an attempt.
 	tried []string
 	// open holds the attempts under way.
@@ -132,7 +134,9 @@
 	onward.ID = c.request.ID + "-" + strconv.Itoa(c.made)
 	onward.Attempt = c.above + c.made - 1
 	onward.Upstream = record.Upstream
+	onward.Patient = c.patient
 	f := Forward{ID: c.request.ID, Number: c.made, To: record.Instance, Request: onward}
+	f.Choice = n.picker(c.service).Choice(target, len(n.candidates(c.service, c.selector).list), now)
 	if !n.direct() {
 		// The store's list tells the lives of upstreams, not of daemons.
 		f.Incarnation = record.Incarnation
@@ -204,6 +208,10 @@
 	return n.forward(c, target, now), true
 }
 
+// patientAfter is the number of daemons that may turn a request away before the
+// next one is asked to keep it.
+const patientAfter = 2
+
 // turnedAway reports whether the request got no further than a daemon, so that
 // another attempt is the first that an upstream sees.
 func (a Attempt) turnedAway() bool {
@@ -233,7 +241,13 @@
 	if c.crashed {
 		return "", false
 	}
+	c.patient = c.refused >= patientAfter
 	target, _, ok := n.choose(c, now)
+	if !ok && last.Reason == call.Slow {
+		// All are slow: the one that is expected to be done first.
+		c.tried, c.patient = nil, true
+		target, _, ok = n.choose(c, now)
+	}
 	return target, ok
 }
 
--- a/node/message.go
+++ b/node/message.go
@@ -88,6 +88,10 @@
 	Crashed bool
 	// Body is the answer when it is short enough to keep for a resend.
 	Body []byte
+	// Reading is the upstream's own account with its answer; HasReading is
+	// false without one.
+	Reading    measure.Reading
+	HasReading bool
 }
 
 // HandOnEnded says what became of a HandOn.
@@ -154,6 +158,9 @@
 // asked after the last RereadStore.
 type StoreAnswered struct{}
 
+// GateDue says that the delay of a WakeGate has passed.
+type GateDue struct{}
+
 // Tick says that time has passed. It must come several times a second.
 type Tick struct{}
 
@@ -174,6 +181,7 @@
 func (ValueRead) message()         {}
 func (ReadFailed) message()        {}
 func (InstancesRead) message()     {}
+func (GateDue) message()           {}
 func (InstancesListed) message()   {}
 func (DocumentRead) message()      {}
 func (DocumentsComplete) message() {}
--- a/node/node.go
+++ b/node/node.go
@@ -97,6 +97,16 @@
 	loadTold time.Time
 	loadLast string
 
+	// callers are the daemons that send requests here, and when they last did.
+	callers map[string]time.Time
+	// work is what each route's requests take at the usual pace.
+	work map[string]time.Duration
+	// paceTold and paceToldAt are what the callers were last told, and when.
+	paceTold   int
+	paceToldAt time.Time
+	// gateDue is true while a WakeGate is under way.
+	gateDue bool
+
 	upstreamCold bool
 	// servingSince is when the upstream began to say that it serves.
 	servingSince time.Time
@@ -123,6 +133,8 @@
 		gate:      admit.New(admit.Config{}),
 		meter:     measure.New(measure.Config{Rand: cfg.Rand}),
 		homes:     map[string]*homeSet{},
+		callers:   map[string]time.Time{},
+		work:      map[string]time.Duration{},
 		suspects:  quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
 		book: once.New(once.Config{
 			Self:    once.Incarnation{ID: cfg.Self.ID, Number: cfg.Incarnation},
@@ -176,6 +188,8 @@
 		return n.peerLeft(m, now)
 	case ProbeEnded:
 		return n.probeEnded(m, now)
+	case GateDue:
+		return n.gateWoken(now)
 	case Tick:
 		return n.tick(now)
 	case Shutdown:
@@ -239,7 +253,9 @@
 		out = append(out, n.keepBook(now)...)
 	}
 	out = append(out, n.limits(now)...)
-	out = append(out, n.tellSiblings(now)...)
+	if !n.direct() {
+		out = append(out, n.tellSiblings(now)...)
+	}
 	out = append(out, n.keepSuspects(now)...)
 	return append(out, n.probe(now)...)
 }
--- /dev/null
+++ b/node/pace.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"pomelodoor.example/pomelodoor/admit"
+	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/measure"
+)
+
+const (
+	// probeUse is the part of the bound on probes that is spent.
+	probeUse = 0.8
+	// paceChange is the factor by which the pace must change before other
+	// daemons are told at once.
+	paceChange = 1.4
+	// callerLife is how long a daemon that sent requests is told of the load.
+	callerLife = 10 * time.Second
+	// maxCallers bounds the daemons that are told.
+	maxCallers = 64
+	// workWeight is the inverse of the share of one run in a route's work.
+	workWeight = 16
+	// minTold is the least time between two reports of the load to others.
+	minTold = 2 * time.Millisecond
+)
+
+// paced reports whether requests are started by the upstream's present pace.
+func (n *Node) paced() bool {
+	return n.direct() && n.config.Allowed(config.Probe) && n.config.Allowed(config.LoadAware)
+}
+
+// measureNow carries out the gate's wish for a reading.
+func (n *Node) measureNow(now time.Time) []Command {
+	n.meter.SetBudget(probeUse*n.cfg.ProbesPerSecond, n.config.Allowed(config.Probe), now)
+	if n.meter.Ask(now) {
+		return []Command{Probe{}}
+	}
+	if n.meter.UnderWay() {
+		return nil
+	}
+	return n.admit(n.gate.Unmeasured(now), now)
+}
+
+// heardOwn takes in what the own upstream says of itself with an answer.
+func (n *Node) heardOwn(reading measure.Reading, now time.Time) []Command {
+	out := n.admit(n.gate.Measured(reading.PacePercent, now), now)
+	out = append(out, n.watchPace(now)...)
+	return append(out, n.tellCallers(now)...)
+}
+
+// watchPace looks at a slow upstream again before long.
+func (n *Node) watchPace(now time.Time) []Command {
+	at, slow := n.gate.RemeasureAt(now)
+	if !slow || n.gateDue {
+		return nil
+	}
+	n.gateDue = true
+	return []Command{WakeGate{After: at.Sub(now)}}
+}
+
+// gateWoken asks for another reading of a slow upstream.
+func (n *Node) gateWoken(now time.Time) []Command {
+	n.gateDue = false
+	out := n.admit(n.gate.Remeasure(now), now)
+	return append(out, n.watchPace(now)...)
+}
+
+// tellCallers tells the daemons that send requests here when the pace changes.
+func (n *Node) tellCallers(now time.Time) []Command {
+	pace, _ := n.gate.Pace()
+	if pace == 0 || now.Sub(n.paceToldAt) < minTold || similar(pace, n.paceTold) {
+		return nil
+	}
+	n.paceTold, n.paceToldAt = pace, now
+	load := n.Load(now)
+	text := loadText{Load: string(load.Append(nil))}
+	var out []Command
+	for id, last := range n.callers {
+		if now.Sub(last) > callerLife {
+			delete(n.callers, id)
+			continue
+		}
+		out = append(out, n.send(id, kindLoad, text)...)
+	}
+	return out
+}
+
+func similar(a, b int) bool {
+	low, high := float64(min(a, b)), float64(max(a, b))
+	return low > 0 && high < paceChange*low
+}
+
+// remember notes a daemon that sends requests here.
+func (n *Node) remember(from string, now time.Time) {
+	if from == n.self() {
+		return
+	}
+	if _, known := n.callers[from]; known || len(n.callers) < maxCallers {
+		n.callers[from] = now
+	}
+}
+
+// loadHeard takes in the load that another daemon tells of its upstream.
+func (n *Node) loadHeard(from string, body json.RawMessage, now time.Time) {
+	var text loadText
+	if json.Unmarshal(body, &text) != nil {
+		return
+	}
+	load, err := balance.ParseLoad([]byte(text.Load))
+	record, ok := n.view.Lookup(from)
+	if err != nil || !ok {
+		return
+	}
+	if service, ok := n.config.Service(record.Service); ok {
+		n.picker(service).Heard(from, load, now)
+	}
+}
+
+// learnWork lets one run count towards what its route takes at the usual pace.
+func (n *Node) learnWork(run *runState, ran time.Duration) time.Duration {
+	if run.pace == 0 || run.request.Route == "" {
+		return ran
+	}
+	usual := ran * 100 / time.Duration(run.pace)
+	work, known := n.work[run.request.Route]
+	switch {
+	case !known && len(n.work) >= maxRoutesLearned:
+		return usual
+	case !known:
+		work = usual
+	}
+	n.work[run.request.Route] = work + (usual-work)/workWeight
+	return usual
+}
+
+// maxRoutesLearned bounds the routes whose work is remembered.
+const maxRoutesLearned = 1024
+
+// gateLimits returns the limits of the own gate.
+func (n *Node) gateLimits(service *config.Service) admit.Limits {
+	l := service.Limits()
+	want := admit.Limits{Slots: l.Slots(), Queue: l.Queue(), Shed: n.config.Allowed(config.Shed)}
+	if slots := n.view.Self().Slots; slots > 0 {
+		want.Slots, want.Queue = max(slots*busyPercent/100, 1), queuePerSlot*slots
+	}
+	want.Paced = n.paced()
+	return want
+}
+
+const (
+	// queuePerSlot bounds the queue of an upstream whose slots the list tells.
+	queuePerSlot = 2
+	// busyPercent is the part of the slots that is filled: upstreams slow down
+	// when they are nearly full.
+	busyPercent = 80
+)
--- a/node/route.go
+++ b/node/route.go
@@ -37,6 +37,7 @@
 		c.request.Repeat = call.Safe
 	}
 	c.request.Priority = call.Ranked(route.Rank())
+	c.request.Route = route.Name()
 	c.bound(now.Add(route.Timeout()))
 	return "", true
 }
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -17,6 +17,9 @@
 	if !ok {
 		return nil
 	}
+	if n.paced() {
+		return n.endProbe(now)
+	}
 	rate := service.Budgets().ProbesPerSecond()
 	n.meter.SetBudget(rate, n.config.Allowed(config.Probe), now)
 	switch action, _ := n.meter.Next(now); action {
@@ -28,12 +31,28 @@
 	return nil
 }
 
+// endProbe gives up a probe under way that takes too long.
+func (n *Node) endProbe(now time.Time) []Command {
+	if !n.meter.UnderWay() {
+		return nil
+	}
+	if action, _ := n.meter.Next(now); action == measure.Cancel {
+		return []Command{CancelProbe{}}
+	}
+	return nil
+}
+
 // probeEnded takes in what the upstream says of itself. Only its state counts:
 // the daemon knows the requests in flight better than a report that lags.
 func (n *Node) probeEnded(m ProbeEnded, now time.Time) []Command {
 	n.meter.Done(m.Reading, m.Err, now)
-	if m.Err != nil {
+	switch {
+	case m.Err != nil && n.paced():
+		return append(n.admit(n.gate.Unmeasured(now), now), n.watchPace(now)...)
+	case m.Err != nil:
 		return nil
+	case n.paced():
+		return n.heardOwn(m.Reading, now)
 	}
 	n.upstreamCold = m.Reading.State == measure.Cold
 	if m.Reading.State == measure.Draining {
