Refuse early what cannot meet its target; a cut watch is followed by a list

Ruled out: a first watch that does not wait (it may hear nothing either). Change: after any failure all is listed again; the gate orders by target and refuses what would miss it for others; a request with a long body waits where it is, and a kilobyte between zones counts as 3 ms; handing on is not assumed.

--- a/admit/decide.go
+++ b/admit/decide.go
@@ -76,7 +76,23 @@
 		return true
 	}
 	wait := g.wait(g.queue.ahead(req))
-	return now.Add(wait).After(req.Deadline)
+	if now.Add(wait).After(req.Deadline) {
+		return true
+	}
+	return g.missesTarget(req, wait, now)
+}
+
+// missesTarget reports whether the call would be answered after its target for
+// having to wait. One that would miss it in any case waits only where nobody
+// else does.
+func (g *Gate) missesTarget(req call.Request, wait time.Duration, now time.Time) bool {
+	if req.Target.IsZero() {
+		return false
+	}
+	if now.Add(req.Work).After(req.Target) {
+		return g.queue.len() > 0
+	}
+	return now.Add(wait + req.Work).After(req.Target)
 }
 
 // wait predicts how long a call waits behind the given number of queued ones.
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -159,7 +159,7 @@
 			i++
 			continue
 		case leave:
-			actions = append(actions, refuse(w.req.ID, call.Slow))
+			actions = append(actions, refuse(w.req.ID, g.leaveReason(w, now)))
 		case begin:
 			actions = append(actions, g.start(w.req.ID))
 		}
@@ -180,6 +180,9 @@
 // turn weighs starting a call at the present pace against sending it elsewhere
 // or waiting for the spell to end.
 func (g *Gate) turn(w waiting, now time.Time) turn {
+	if g.limits.Shed && g.passedOver(w, now) {
+		return leave
+	}
 	if !g.pace.slow(now) {
 		return begin
 	}
@@ -193,3 +196,24 @@
 	}
 	return stay
 }
+
+// passedOver reports whether a call has waited too long to meet its target while
+// others behind it still can.
+func (g *Gate) passedOver(w waiting, now time.Time) bool {
+	if w.req.Target.IsZero() || !now.Add(w.req.Work).After(w.req.Target) {
+		return false
+	}
+	for _, other := range g.queue.calls {
+		if other.req.Target.After(now.Add(other.req.Work)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) leaveReason(w waiting, now time.Time) call.Reason {
+	if g.limits.Shed && g.passedOver(w, now) {
+		return call.Overloaded
+	}
+	return call.Slow
+}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -31,6 +31,9 @@
 		if d := a.req.Priority.Rank() - b.req.Priority.Rank(); d != 0 {
 			return d
 		}
+		if d := compareDeadlines(a.req.Target, b.req.Target); d != 0 {
+			return d
+		}
 		if d := compareDeadlines(a.req.Deadline, b.req.Deadline); d != 0 {
 			return d
 		}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -104,7 +104,7 @@
 	}
 	// Trials are left to the daemons of that zone, unless a call goes there
 	// anyway.
-	link := float64(p.config.LinkCost(candidate.Zone))
+	link := float64(p.config.LinkCost(candidate.Zone) + k.options.Extra)
 	k.remote.take(i, min(g, usable), cost+link, mean+link)
 }
 
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -59,6 +59,9 @@
 	// EjectPercent is the largest share of the candidates that is ejected.
 	// When more look bad, none is: the fault may be on this side.
 	EjectPercent int
+	// Extra is added to the link's cost outside the own availability zone: what
+	// this call costs there beyond its time.
+	Extra time.Duration
 	// NoTrial is true for a call that must not be spent on finding out
 	// whether an ejected upstream works again.
 	NoTrial bool
--- a/call/header.go
+++ b/call/header.go
@@ -34,6 +34,7 @@
 	HeaderUpstream    = "Pomelodoor-Upstream"
 	HeaderService     = "Pomelodoor-Service"
 	HeaderRoute       = "Pomelodoor-Route"
+	HeaderGoal        = "Pomelodoor-Goal-Ms"
 	HeaderPatient     = "Pomelodoor-Patient"
 	HeaderToken       = "Pomelodoor-Token"
 )
--- a/call/request.go
+++ b/call/request.go
@@ -81,6 +81,9 @@
 	Fingerprint uint64
 	// Deadline is the moment after which the caller no longer waits.
 	Deadline time.Time
+	// Target is the moment after which an answer is worth much less; zero when
+	// nobody says.
+	Target time.Time
 	// Priority decides who waits when an upstream is full.
 	Priority Priority
 	// Attempt counts the tries made before this one, here and above.
@@ -91,6 +94,8 @@
 	Issue bool
 	// Granted is true for a keyed request that its key's home has let run.
 	Granted bool
+	// BodyBytes is the length of the body, as far as it is known.
+	BodyBytes int
 	// Replayable is true when the whole body is held and can be sent again.
 	Replayable bool
 }
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -91,6 +91,7 @@
 	}
 	request.ID = fmt.Sprintf("%016x", rand.Uint64())
 	request.Replayable = body.Replayable()
+	request.BodyBytes = body.Len()
 	request.Fingerprint = ingress.Fingerprint(&ctx.Request.Header, request.Caller, body)
 	return request, body, nil
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -83,7 +83,8 @@
 	// kept holds when keys that went during trouble are to go for good.
 	kept map[string]time.Time
 
-	listed   bool // the copy is complete
+	complete bool // the copy has been whole
+	listed   bool // the copy can be kept up by watching
 	listing  map[string]Item
 	after    string
 	revision uint64 // from which to watch
@@ -143,6 +144,7 @@
 		return false
 	}
 	f.replace(f.listing, now)
+	f.complete = true
 	f.listed, f.listing, f.after, f.revision = true, nil, "", f.first
 	return true
 }
@@ -177,7 +179,9 @@
 	f.listed, f.listing, f.after = false, nil, ""
 }
 
-// Failed says that a List or a Watch brought nothing.
+// Failed says that a List or a Watch brought nothing. All is listed again: a
+// watch that was cut may not have heard of the last changes, and the answer tells
+// at once when the store is back.
 func (f *Follower) Failed(now time.Time) {
 	f.inTrouble = true
 	f.failures++
@@ -186,11 +190,11 @@
 		backoff = backoff/2 + time.Duration(f.cfg.Rand()%uint64(backoff))
 	}
 	f.notBefore = now.Add(backoff)
-	f.listing, f.after = nil, ""
+	f.listed, f.listing, f.after = false, nil, ""
 }
 
 // Complete reports whether the copy has been read whole at least once.
-func (f *Follower) Complete() bool { return f.listed || len(f.items) > 0 }
+func (f *Follower) Complete() bool { return f.complete }
 
 // Items returns the copy. It must not be changed, and is good until the next
 // call of another method.
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -64,6 +64,9 @@
 // Replayable reports whether the body can be sent again.
 func (b *Body) Replayable() bool { return b.stream == nil }
 
+// Len returns the length of the body, or 0 when it is not known yet.
+func (b *Body) Len() int { return max(b.length, 0) }
+
 // Taken reports whether any of a stream may have been read.
 func (b *Body) Taken() bool { return b.source != nil && b.source.Taken() }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -86,6 +86,9 @@
 	r.Token = string(h.Peek(call.HeaderToken))
 	r.Route = string(h.Peek(call.HeaderRoute))
 	r.Patient = string(h.Peek(call.HeaderPatient)) == granted
+	if ms, err := strconv.ParseInt(string(h.Peek(call.HeaderGoal)), 10, 64); err == nil {
+		r.Target = now.Add(time.Duration(ms) * time.Millisecond)
+	}
 	r.ID = string(h.Peek(call.HeaderCall))
 	if r.ID == "" {
 		return Forwarded{}, fmt.Errorf("%w: no call id", ErrRequest)
@@ -130,6 +133,9 @@
 	if f.Request.Route != "" {
 		h.Set(call.HeaderRoute, f.Request.Route)
 	}
+	if !f.Request.Target.IsZero() {
+		h.Set(call.HeaderGoal, strconv.FormatInt(f.Request.Target.Sub(now).Milliseconds(), 10))
+	}
 	if f.Request.Patient {
 		h.Set(call.HeaderPatient, granted)
 	}
@@ -171,7 +177,7 @@
 	call.HeaderPriority, call.HeaderFingerprint, call.HeaderLoad, call.HeaderCall,
 	call.HeaderGranted, call.HeaderSpent, call.HeaderOutcome, call.HeaderReason,
 	call.HeaderRepeat, call.HeaderUpstream, call.HeaderService, call.HeaderToken,
-	call.HeaderRoute, call.HeaderPatient,
+	call.HeaderRoute, call.HeaderPatient, call.HeaderGoal,
 }
 
 // serviceName takes the service from a Host header.
--- a/node/handon.go
+++ b/node/handon.go
@@ -5,6 +5,7 @@
 
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/membership"
 )
 
 // handOn passes a request that cannot run here to a sibling before it runs, at
@@ -40,7 +41,16 @@
 	if !run.before.IsZero() && run.before.Before(onward.Deadline) {
 		onward.Deadline = run.before
 	}
-	return HandOn{ID: run.request.ID, To: record.Instance, Incarnation: record.Incarnation, Request: onward}, true
+	return HandOn{ID: run.request.ID, To: record.Instance, Incarnation: n.incarnation(record), Request: onward}, true
+}
+
+// incarnation returns the life of a daemon that is meant. The store's list tells
+// the lives of upstreams, not of daemons.
+func (n *Node) incarnation(r membership.Record) uint64 {
+	if n.direct() {
+		return 0
+	}
+	return r.Incarnation
 }
 
 // allowedFor finds the service and the selector that bind a request here.
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -134,13 +134,11 @@
 	onward.ID = c.request.ID + "-" + strconv.Itoa(c.made)
 	onward.Attempt = c.above + c.made - 1
 	onward.Upstream = record.Upstream
-	onward.Patient = c.patient
-	f := Forward{ID: c.request.ID, Number: c.made, To: record.Instance, Request: onward}
-	f.Choice = n.picker(c.service).Choice(target, len(n.candidates(c.service, c.selector).list), now)
-	if !n.direct() {
-		// The store's list tells the lives of upstreams, not of daemons.
-		f.Incarnation = record.Incarnation
+	onward.Patient = c.patient || c.request.BodyBytes >= patientBytes
+	f := Forward{
+		ID: c.request.ID, Number: c.made, To: record.Instance, Incarnation: n.incarnation(record), Request: onward,
 	}
+	f.Choice = n.picker(c.service).Choice(target, len(n.candidates(c.service, c.selector).list), now)
 	out := []Command{f}
 	if delay, ok := n.policy(c.service, now).HedgeAfter(n.try(c), now); ok && c.made == 1 {
 		out = append(out, HedgeAfter{ID: c.request.ID, Delay: delay})
@@ -208,6 +206,10 @@
 	return n.forward(c, target, now), true
 }
 
+// patientBytes is the length of a body from which a request waits out a slow
+// spell where it is: sending the body once more costs more.
+const patientBytes = 16 << 10
+
 // patientAfter is the number of daemons that may turn a request away before the
 // next one is asked to keep it.
 const patientAfter = 2
--- a/node/links.go
+++ b/node/links.go
@@ -41,6 +41,10 @@
 	}
 }
 
+// perKilobyte is the time that a kilobyte sent to another availability zone
+// counts as: such links are dear.
+const perKilobyte = 3 * time.Millisecond
+
 // cost returns what a round trip to a zone takes beyond one in the own zone;
 // zero while that is not known.
 func (l *links) cost(zone string) time.Duration {
--- a/node/route.go
+++ b/node/route.go
@@ -38,6 +38,7 @@
 	}
 	c.request.Priority = call.Ranked(route.Rank())
 	c.request.Route = route.Name()
+	c.request.Target = now.Add(route.Target())
 	c.bound(now.Add(route.Timeout()))
 	return "", true
 }
