Less between zones: one short header, pace told in the own zone only

Ruled out: telling daemons of other zones when the pace changes: they send less often than it does. Change: what daemons tell each other of a request is one header of short fields; the pace is told in the own zone; the cost of a call is its route's work, times how much slower than others the upstream was with like calls. The test of a body that waits for the decision speaks the new header.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -29,9 +29,9 @@
 )
 
 // cost returns the time in nanoseconds that a call to u is expected to take,
-// without the link.
-func (p *Picker) cost(u *upstream, now time.Time) (drawn, mean float64) {
-	return p.costOf(u, p.guess(u.calls()), now), p.costOf(u, u.expected(now), now)
+// without the link. work is what it takes at the usual pace; 0 when not known.
+func (p *Picker) cost(u *upstream, work float64, now time.Time) (drawn, mean float64) {
+	return p.costOf(u, work, p.guess(u.calls()), now), p.costOf(u, work, u.expected(now), now)
 }
 
 // expected is the last report as far as it is fresh, and the usual number.
@@ -44,9 +44,14 @@
 	return max(float64(len(u.started)), trust*reported+(1-trust)*u.usual)
 }
 
-func (p *Picker) costOf(u *upstream, calls float64, now time.Time) float64 {
-	service := p.service(u, now) * u.pace(now)
-	cost := service + wait(calls, u.load.Slots, service)
+func (p *Picker) costOf(u *upstream, work, calls float64, now time.Time) float64 {
+	service := p.service(u, now)
+	cost := service * u.pace(now)
+	if work > 0 {
+		service = p.typical
+		cost = work * u.slowness(now) * u.pace(now)
+	}
+	cost += wait(calls, u.load.Slots, service)
 	if oldest := u.oldest(); !oldest.IsZero() {
 		cost = max(cost, float64(now.Sub(oldest))/overdueFactor)
 	}
@@ -76,6 +81,36 @@
 	return 1 + (read-1)*fade(now.Sub(u.measured), paceLife)
 }
 
+const (
+	// maxFactor bounds how much longer than others one call is counted to take.
+	maxFactor = 20
+	// factorWeight is the share of one call in an upstream's factor.
+	factorWeight = 0.1
+)
+
+// worked follows how much longer than elsewhere calls take there.
+func (u *upstream) worked(factor float64, now time.Time) {
+	u.factor = u.slownessRead(now)
+	u.factor += factorWeight * (factor - u.factor)
+	u.factorAt = now
+}
+
+// slownessRead is the factor as last followed, faded to that of the others.
+func (u *upstream) slownessRead(now time.Time) float64 {
+	if u.factor == 0 {
+		return 1
+	}
+	return 1 + (u.factor-1)*fade(now.Sub(u.factorAt), latencyLife)
+}
+
+// slowness is the factor where it is too large for chance.
+func (u *upstream) slowness(now time.Time) float64 {
+	if f := u.slownessRead(now); f >= deadZone {
+		return f
+	}
+	return 1
+}
+
 // service returns the expected time in a slot, in nanoseconds.
 func (p *Picker) service(u *upstream, now time.Time) float64 {
 	known, at := float64(u.load.ServiceTime), u.measured
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -97,7 +97,7 @@
 	if g == never {
 		return
 	}
-	cost, mean := p.cost(u, k.now)
+	cost, mean := p.cost(u, float64(k.options.Work), k.now)
 	if candidate.Zone == p.config.SelfZone {
 		k.local.take(i, g, cost, mean)
 		return
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -59,6 +59,9 @@
 	// EjectPercent is the largest share of the candidates that is ejected.
 	// When more look bad, none is: the fault may be on this side.
 	EjectPercent int
+	// Work is how long this call holds a slot at the usual pace; 0 when not
+	// known. It then stands in place of what the upstreams report.
+	Work time.Duration
 	// Extra is added to the link's cost outside the own availability zone: what
 	// this call costs there beyond its time.
 	Extra time.Duration
@@ -115,6 +118,12 @@
 	p.track(id, u)
 }
 
+// Worked counts how much longer than others of its kind a call took at the
+// upstream, with its pace taken out.
+func (p *Picker) Worked(id string, factor float64, now time.Time) {
+	p.upstream(id).worked(min(max(factor, 1/maxFactor), maxFactor), now)
+}
+
 // Heard takes a load report about the upstream. Reports may come late, twice
 // and out of order.
 func (p *Picker) Heard(id string, load Load, now time.Time) {
@@ -197,7 +206,7 @@
 // Choice tells what is known of an upstream that was chosen among candidates.
 func (p *Picker) Choice(id string, candidates int, now time.Time) Choice {
 	u := p.upstream(id)
-	_, mean := p.cost(u, now)
+	_, mean := p.cost(u, 0, now)
 	c := Choice{Cost: time.Duration(mean), Candidates: candidates}
 	if !u.measured.IsZero() {
 		c.LoadAge = now.Sub(u.measured)
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -38,15 +38,19 @@
 	seen        bool      // as a candidate
 	rampFrom    time.Time // when its share began to grow; zero when it does not
 	own         Estimate  // of the calls sent from here
-	started     []time.Time
-	load        Load
-	measured    time.Time // when load was true; zero when nothing was heard
-	usual       float64   // usual number of calls in flight and queued
-	ownUsual    float64   // usual number of calls from here
-	ownAt       time.Time // up to when ownUsual holds them
-	refused     float64
-	refusedAt   time.Time
-	ejection    ejection
+	// factor is how much longer than elsewhere calls take, as of factorAt; 0
+	// when not known.
+	factor    float64
+	factorAt  time.Time
+	started   []time.Time
+	load      Load
+	measured  time.Time // when load was true; zero when nothing was heard
+	usual     float64   // usual number of calls in flight and queued
+	ownUsual  float64   // usual number of calls from here
+	ownAt     time.Time // up to when ownUsual holds them
+	refused   float64
+	refusedAt time.Time
+	ejection  ejection
 }
 
 // start counts a call that leaves now.
--- a/call/header.go
+++ b/call/header.go
@@ -19,22 +19,9 @@
 // body is the key.
 const KeyPath = "/.well-known/pomelodoor/key"
 
-// Headers that only daemons send to each other.
+// Headers that only daemons send to each other. Package ingress knows their
+// fields.
 const (
-	HeaderFrom        = "Pomelodoor-From"
-	HeaderTarget      = "Pomelodoor-Target"
-	HeaderIncarnation = "Pomelodoor-Incarnation"
-	HeaderHops        = "Pomelodoor-Hops"
-	HeaderLoad        = "Pomelodoor-Load"
-	HeaderGranted     = "Pomelodoor-Granted"
-	HeaderSpent       = "Pomelodoor-Spent-Us"
-	HeaderPriority    = "Pomelodoor-Priority"
-	HeaderFingerprint = "Pomelodoor-Fingerprint"
-	HeaderRepeat      = "Pomelodoor-Repeat"
-	HeaderUpstream    = "Pomelodoor-Upstream"
-	HeaderService     = "Pomelodoor-Service"
-	HeaderRoute       = "Pomelodoor-Route"
-	HeaderGoal        = "Pomelodoor-Goal-Ms"
-	HeaderPatient     = "Pomelodoor-Patient"
-	HeaderToken       = "Pomelodoor-Token"
+	HeaderForward = "Pomelodoor-Forward"
+	HeaderAnswer  = "Pomelodoor-Answer"
 )
--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/exchange"
 	"pomelodoor.example/pomelodoor/ingress"
@@ -98,15 +96,12 @@
 		Answered: true,
 	}
 	known := result.Outcome == call.Run || result.Outcome == call.NotRun || result.Outcome == call.Unknown
-	if !known || string(h.Peek(call.HeaderFrom)) != target && result.Reason != call.WrongIncarnation {
+	report, err := ingress.ReadReport(h)
+	if !known || err != nil || report.From != target && result.Reason != call.WrongIncarnation {
 		return node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost}
 	}
-	if load, err := balance.ParseLoad(h.Peek(call.HeaderLoad)); err == nil {
-		result.Load, result.HasLoad = load, true
-	}
-	if spent, err := strconv.ParseInt(string(h.Peek(call.HeaderSpent)), 10, 64); err == nil {
-		result.Spent = time.Duration(spent) * time.Microsecond
-	}
+	result.Load, result.HasLoad = report.Load, report.HasLoad
+	result.Spent, result.Work = report.Spent, report.Work
 	return result
 }
 
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -341,7 +341,7 @@
 	t.Parallel()
 	f := startFleet(t, 1)
 	head := "PUT /photos HTTP/1.1\r\nHost: faults\r\nPomelodoor-Caller: dispatch-1\r\nPomelodoor-Call: c1\r\n" +
-		"Pomelodoor-Deadline-Ms: 20000\r\nExpect: 100-continue\r\nContent-Length: 100000\r\nPomelodoor-Target: "
+		"Pomelodoor-Deadline-Ms: 20000\r\nExpect: 100-continue\r\nContent-Length: 100000\r\nPomelodoor-Forward: t="
 	if resp := raw(t, f.peer[0], head+"another\r\n\r\n"); resp.StatusCode() != 503 {
 		t.Fatalf("a request for another instance got %d before its body", resp.StatusCode())
 	}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,7 +25,7 @@
 // servePeer takes a request that another daemon has forwarded.
 func (d *Daemon) servePeer(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
-	f, err := ingress.ParseForwarded(ctx, now)
+	f, err := ingress.ParseForwarded(ctx, d.dialect, now)
 	if err != nil {
 		d.refuseRequest(ctx, err)
 		return
@@ -66,12 +65,10 @@
 
 // writeOwn adds what only daemons tell each other.
 func (d *Daemon) writeOwn(ctx *fasthttp.RequestCtx, a *answer, since time.Time) {
-	h := &ctx.Response.Header
-	h.Set(call.HeaderFrom, d.self.ID)
-	if a.result.HasLoad {
-		h.SetBytesV(call.HeaderLoad, a.result.Load.Append(nil))
-	}
-	h.Set(call.HeaderSpent, strconv.FormatInt(time.Since(since).Microseconds(), 10))
+	ingress.WriteReport(&ctx.Response.Header, ingress.Report{
+		From: d.self.ID, Load: a.result.Load, HasLoad: a.result.HasLoad,
+		Spent: time.Since(since), Work: a.result.Work,
+	})
 }
 
 // serve asks the node for admission, and runs the request on the own upstream
@@ -245,6 +242,9 @@
 	}
 	cancel()
 	end.Latency = time.Since(start)
+	if r.Pace > 0 && end.Status < fasthttp.StatusInternalServerError {
+		a.result.Work = end.Latency * 100 / time.Duration(r.Pace)
+	}
 	end.Body = resp.Body()
 	d.ended(request, end)
 	return a
--- a/daemon/reservations.go
+++ b/daemon/reservations.go
@@ -50,7 +50,7 @@
 // expectPeer decides on a forwarded request before its long body is sent. It
 // answers 100 when the body is wanted.
 func (d *Daemon) expectPeer(ctx *fasthttp.RequestCtx) int {
-	f, err := ingress.ParseForwarded(ctx, time.Now())
+	f, err := ingress.ParseForwarded(ctx, d.dialect, time.Now())
 	if err != nil || f.Request.Issue {
 		// The handler says what is wrong.
 		return fasthttp.StatusContinue
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -71,86 +71,6 @@
 // maxAttempt caps the attempt number that is carried on.
 const maxAttempt = 1000
 
-// ParseForwarded reads a request that another daemon has sent on.
-func ParseForwarded(ctx *fasthttp.RequestCtx, now time.Time) (Forwarded, error) {
-	r, err := ParseCaller(ctx, Own(), now)
-	if err != nil {
-		return Forwarded{}, err
-	}
-	h := &ctx.Request.Header
-	if service := h.Peek(call.HeaderService); len(service) > 0 {
-		r.Service = string(service)
-	}
-	r.Repeat = call.Repeat(h.Peek(call.HeaderRepeat))
-	r.Upstream = string(h.Peek(call.HeaderUpstream))
-	r.Token = string(h.Peek(call.HeaderToken))
-	r.Route = string(h.Peek(call.HeaderRoute))
-	r.Patient = string(h.Peek(call.HeaderPatient)) == granted
-	if ms, err := strconv.ParseInt(string(h.Peek(call.HeaderGoal)), 10, 64); err == nil {
-		r.Target = now.Add(time.Duration(ms) * time.Millisecond)
-	}
-	r.ID = string(h.Peek(call.HeaderCall))
-	if r.ID == "" {
-		return Forwarded{}, fmt.Errorf("%w: no call id", ErrRequest)
-	}
-	r.Priority = call.Priority(h.Peek(call.HeaderPriority))
-	hops, err := number(h, call.HeaderHops)
-	if err != nil {
-		return Forwarded{}, err
-	}
-	r.Hops = int(min(hops, maxAttempt))
-	r.Granted = string(h.Peek(call.HeaderGranted)) == granted
-	f := Forwarded{
-		From:   string(h.Peek(call.HeaderFrom)),
-		Target: string(h.Peek(call.HeaderTarget)),
-	}
-	if f.Incarnation, err = number(h, call.HeaderIncarnation); err != nil {
-		return Forwarded{}, err
-	}
-	if r.Fingerprint, err = number(h, call.HeaderFingerprint); err != nil {
-		return Forwarded{}, err
-	}
-	f.Request = r
-	return f, nil
-}
-
-// WriteForwarded puts onto a request's headers what ParseForwarded reads.
-func WriteForwarded(h *fasthttp.RequestHeader, f Forwarded, now time.Time) {
-	h.Set(call.HeaderCall, f.Request.ID)
-	h.Set(call.HeaderPriority, string(f.Request.Priority))
-	h.Set(call.HeaderHops, strconv.Itoa(f.Request.Hops))
-	h.Set(call.HeaderFrom, f.From)
-	h.Set(call.HeaderTarget, f.Target)
-	h.Set(call.HeaderIncarnation, strconv.FormatUint(f.Incarnation, 10))
-	h.Set(call.HeaderFingerprint, strconv.FormatUint(f.Request.Fingerprint, 10))
-	h.Set(call.HeaderService, f.Request.Service)
-	if f.Request.Repeat != call.ByMethod {
-		h.Set(call.HeaderRepeat, string(f.Request.Repeat))
-	}
-	if f.Request.Upstream != "" {
-		h.Set(call.HeaderUpstream, f.Request.Upstream)
-	}
-	if f.Request.Route != "" {
-		h.Set(call.HeaderRoute, f.Request.Route)
-	}
-	if !f.Request.Target.IsZero() {
-		h.Set(call.HeaderGoal, strconv.FormatInt(f.Request.Target.Sub(now).Milliseconds(), 10))
-	}
-	if f.Request.Patient {
-		h.Set(call.HeaderPatient, granted)
-	}
-	if f.Request.Token != "" {
-		h.Set(call.HeaderToken, f.Request.Token)
-	}
-	if f.Request.Granted {
-		h.Set(call.HeaderGranted, granted)
-	}
-	WriteOnward(h, f.Request, now)
-}
-
-// granted is the value of call.HeaderGranted and call.HeaderPatient.
-const granted = "1"
-
 // WriteOnward puts onto a request's headers what an upstream may pass on with
 // calls of its own: the attempt, and what is left of the deadline.
 func WriteOnward(h *fasthttp.RequestHeader, r call.Request, now time.Time) {
@@ -173,11 +93,7 @@
 }
 
 var daemonHeaders = []string{
-	call.HeaderFrom, call.HeaderTarget, call.HeaderIncarnation, call.HeaderHops,
-	call.HeaderPriority, call.HeaderFingerprint, call.HeaderLoad, call.HeaderCall,
-	call.HeaderGranted, call.HeaderSpent, call.HeaderOutcome, call.HeaderReason,
-	call.HeaderRepeat, call.HeaderUpstream, call.HeaderService, call.HeaderToken,
-	call.HeaderRoute, call.HeaderPatient, call.HeaderGoal,
+	call.HeaderForward, call.HeaderAnswer, call.HeaderCall, call.HeaderOutcome, call.HeaderReason,
 }
 
 // serviceName takes the service from a Host header.
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -106,6 +106,7 @@
 		Eject:        n.config.Allowed(config.Eject) && !n.doubt,
 		SlowStart:    n.config.Allowed(config.SlowStart),
 		EjectPercent: int(c.service.Budgets().EjectPercent()),
+		Work:         n.work[c.request.Route],
 		Extra:        time.Duration(c.request.BodyBytes) * perKilobyte / 1024,
 		NoTrial:      !c.request.Idempotent(),
 	}
--- a/node/command.go
+++ b/node/command.go
@@ -62,6 +62,9 @@
 	// Before is the moment after which it must no longer be sent; zero means
 	// that only the request's deadline binds.
 	Before time.Time
+	// Pace is the upstream's pace at this moment in percent of the usual; 0 when
+	// not known.
+	Pace int
 }
 
 // Refuse answers the sender of a PeerRequest that ends without a Run.
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -259,6 +259,14 @@
 	if r.Spent > 0 && a.target != n.self() {
 		n.links.observe(a.zone, r.Latency-r.Spent)
 	}
+	if work := n.work[c.request.Route]; r.Work > 0 && c.route != nil {
+		if work > 0 {
+			picker.Worked(a.target, float64(r.Work)/float64(work), now)
+		}
+		if a.target != n.self() {
+			n.worked(c.request.Route, r.Work)
+		}
+	}
 	n.learnFrom(picker, a.target, r, now)
 }
 
--- a/node/message.go
+++ b/node/message.go
@@ -43,6 +43,9 @@
 	Latency time.Duration
 	// Spent is the part of Latency that the other daemon says it took.
 	Spent time.Duration
+	// Work is how long the run took at its upstream's usual pace; 0 when not
+	// known.
+	Work time.Duration
 	// Answered means that the other daemon itself said so, rather than that it
 	// could not be asked.
 	Answered bool
--- a/node/pace.go
+++ b/node/pace.go
@@ -67,7 +67,9 @@
 	return append(out, n.watchPace(now)...)
 }
 
-// tellCallers tells the daemons that send requests here when the pace changes.
+// tellCallers tells the daemons of its availability zone that send requests here
+// when the pace changes. The others are told with their answers: links between
+// zones are dear, and they send less often than the pace changes.
 func (n *Node) tellCallers(now time.Time) []Command {
 	pace, _ := n.gate.Pace()
 	if pace == 0 || now.Sub(n.paceToldAt) < minTold || similar(pace, n.paceTold) {
@@ -82,7 +84,9 @@
 			delete(n.callers, id)
 			continue
 		}
-		out = append(out, n.send(id, kindLoad, text)...)
+		if r, ok := n.view.Lookup(id); ok && r.AvailabilityZone == n.cfg.Self.AvailabilityZone {
+			out = append(out, n.send(id, kindLoad, text)...)
+		}
 	}
 	return out
 }
@@ -124,15 +128,20 @@
 		return ran
 	}
 	usual := ran * 100 / time.Duration(run.pace)
-	work, known := n.work[run.request.Route]
+	n.worked(run.request.Route, usual)
+	return usual
+}
+
+// worked lets one run at the usual pace count towards its route's work.
+func (n *Node) worked(route string, usual time.Duration) {
+	work, known := n.work[route]
 	switch {
 	case !known && len(n.work) >= maxRoutesLearned:
-		return usual
+		return
 	case !known:
 		work = usual
 	}
-	n.work[run.request.Route] = work + (usual-work)/workWeight
-	return usual
+	n.work[route] = work + (usual-work)/workWeight
 }
 
 // maxRoutesLearned bounds the routes whose work is remembered.
