--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -6,6 +6,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
+
+	"pomelodoor.example/pomelodoor/node"
 )
 
 // serveAdmin answers operators.
@@ -14,14 +16,18 @@
 	case "/debug/vars":
 		expvarhandler.ExpvarHandler(ctx)
 	case "/status":
-		d.mu.Lock()
-		status := d.node.Status(time.Now())
-		d.mu.Unlock()
 		ctx.SetContentType("application/json")
-		if err := json.NewEncoder(ctx).Encode(status); err != nil {
+		if err := json.NewEncoder(ctx).Encode(d.Status()); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		}
 	default:
 		ctx.Error("the pages are /status and /debug/vars", fasthttp.StatusNotFound)
 	}
 }
+
+// Status returns what this daemon tells operators of itself.
+func (d *Daemon) Status() node.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Status(time.Now())
+}
--- a/membership/replace.go
+++ b/membership/replace.go
@@ -45,12 +45,13 @@
 }
 
 // replaceSelf takes the daemon's own instance out of the list: its incarnation
-// is the daemon's own, and a daemon that leaves does so for good.
+// is the daemon's own, and a daemon that leaves does so for good. Another service
+// at its address has taken the place of its upstream.
 func (v *View) replaceSelf(newest map[string]Listing, now time.Time) {
 	l, listed := newest[v.config.Self.ID]
 	r := v.Self()
 	r.State = Gone
-	if listed {
+	if listed && l.Service == r.Service {
 		r.Upstream, r.Slots, r.ColdUntil, r.State = l.Upstream, l.Slots, l.ColdUntil, l.State
 	}
 	if v.ordered && r.State == Live {
