One watch on the whole store; tests of the new parts, and what they found

Ruled out: fewer readers that tell the others: more to go wrong in a cut, for calls that gathering saves as well. Change: one watch for documents and upstreams, put off by a second after a change; the wait after failures goes up to 1.6 s; the exchange waits for its context where the deadline has passed.

--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -26,7 +26,7 @@
 		case node.WakeGate:
 			time.AfterFunc(c.After, func() { d.update(node.GateDue{}) })
 		case node.RereadStore:
-			d.follows.restart()
+			d.following.restart()
 		case node.Send:
 			d.control.Send(c.Address, c.Envelope)
 		case node.Note:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,11 +68,11 @@
 	peers    *pools
 	// registry is read by daemons that spread what they read, store by those
 	// that read it for themselves.
-	registry *registry.Client
-	store    *platform.Client
-	follows  *follows
-	dialect  ingress.Dialect
-	control  *peer.Endpoint
+	registry  *registry.Client
+	store     *platform.Client
+	following *following
+	dialect   ingress.Dialect
+	control   *peer.Endpoint
 
 	callers  *ingress.Server
 	fromPeer *ingress.Server
@@ -106,7 +106,7 @@
 	d.loop(d.tick)
 	d.loop(d.sweep)
 	if settings.direct() {
-		d.followStore()
+		d.loop(d.followStore)
 	}
 	d.part("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation,
 		"service", settings.Service, "availabilityZone", settings.AvailabilityZone, "listen", settings.Listen, "peer", settings.Peer,
@@ -140,14 +140,14 @@
 			ProbesPerSecond: settings.bounds.ProbesPerSecond,
 		}),
 		calls: newBoxes(), runs: newBoxes(), reserved: newReservations(), watch: ingress.NewWatch(),
-		upstream: exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: upstreamConns, Mine: dialect.Mine}),
-		peers:    newPools(seams.Dial),
-		registry: registry.New(registry.Config{Addresses: settings.Platform}),
-		store:    platform.New(platform.Config{Address: settings.Store}),
-		dialect:  dialect,
-		follows:  newFollows(),
-		probing:  &probing{},
-		ctx:      ctx, stop: stop,
+		upstream:  exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: upstreamConns, Mine: dialect.Mine}),
+		peers:     newPools(seams.Dial),
+		registry:  registry.New(registry.Config{Addresses: settings.Platform}),
+		store:     platform.New(platform.Config{Address: settings.Store}),
+		dialect:   dialect,
+		following: &following{},
+		probing:   &probing{},
+		ctx:       ctx, stop: stop,
 	}
 	d.burn = burn.New(burn.Config{Instance: settings.Instance, Level: d.level})
 	d.metrics = newMetrics(d)
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,55 +17,49 @@
 	"pomelodoor.example/pomelodoor/platform"
 )
 
-// follows are the parts of the users' store that this daemon follows.
-type follows struct {
-	mu sync.Mutex
-	// cancel ends the calls under way, by part.
-	cancel map[string]context.CancelFunc
-	asked  map[string]bool
-}
-
-func newFollows() *follows {
-	return &follows{cancel: map[string]context.CancelFunc{}, asked: map[string]bool{}}
+// following is the call to the users' store that is under way.
+type following struct {
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	asked  bool
 }
 
 // begin notes a call under way.
-func (f *follows) begin(part string, cancel context.CancelFunc) {
+func (f *following) begin(cancel context.CancelFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancel[part] = cancel
+	f.cancel = cancel
 }
 
-// restart ends all calls under way, so that the next ones show what is true now.
-func (f *follows) restart() {
+// restart ends the call under way, so that the next one shows what is true now.
+func (f *following) restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for part, cancel := range f.cancel {
-		f.asked[part] = true
-		cancel()
+	if f.cancel != nil {
+		f.asked = true
+		f.cancel()
 	}
 }
 
 // takeAsked reports whether restart was called since the last time.
-func (f *follows) takeAsked(part string) bool {
+func (f *following) takeAsked() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	asked := f.asked[part]
-	f.asked[part] = false
+	asked := f.asked
+	f.asked = false
 	return asked
 }
 
-// followStore starts to follow the documents and the upstreams.
+// followStore follows the documents and the upstreams until the daemon stops.
+// One watch covers both: the store counts calls.
 func (d *Daemon) followStore() {
 	documents := &documentFeed{d: d, seen: map[string]uint64{}}
-	d.loop(func() { d.followPart(platform.Documents, documents.feed) })
 	upstreams := &upstreamFeed{d: d, ports: d.ports(), read: map[string]readUpstream{}}
-	d.loop(func() { d.followPart(platform.Upstreams, upstreams.feed) })
-}
-
-// followPart follows one part of the store until the daemon stops.
-func (d *Daemon) followPart(part string, feed func(f *follow.Follower, now time.Time)) {
-	f := follow.New(follow.Config{Prefix: part, Rand: rand.Uint64})
+	feed := func(f *follow.Follower, now time.Time) {
+		documents.feed(f)
+		upstreams.feed(f, now)
+	}
+	f := follow.New(follow.Config{Rand: rand.Uint64})
 	reread := false
 	for d.ctx.Err() == nil {
 		now := time.Now()
@@ -80,13 +75,13 @@
 			action.For = 0
 		}
 		troubled := f.Troubled()
-		changed, err := d.readPart(part, f, action)
+		changed, err := d.readStore(f, action)
 		now = time.Now()
-		if d.follows.takeAsked(part) {
+		if d.following.takeAsked() {
 			reread = true
 			continue
 		}
-		d.noteStore(part, troubled, f, err)
+		d.noteStore(troubled, f, err)
 		if err == nil && reread {
 			reread = false
 			d.update(node.StoreAnswered{})
@@ -97,24 +92,24 @@
 	}
 }
 
-// readPart makes one call and lets the follower take it in.
-func (d *Daemon) readPart(part string, f *follow.Follower, action follow.Action) (changed bool, err error) {
+// readStore makes one call and lets the follower take it in.
+func (d *Daemon) readStore(f *follow.Follower, action follow.Action) (changed bool, err error) {
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
-	d.follows.begin(part, cancel)
+	d.following.begin(cancel)
 	if action.Kind == follow.List {
-		page, err := d.store.List(ctx, part, action.After)
+		page, err := d.store.List(ctx, platform.Everything, action.After)
 		if err != nil {
 			d.readFailed(f, ctx)
 			return false, err
 		}
 		return f.Listed(page, time.Now()), nil
 	}
-	changes, asOf, err := d.store.Watch(ctx, part, action.Revision, action.For)
+	changes, asOf, err := d.store.Watch(ctx, platform.Everything, action.Revision, action.For)
 	switch {
 	case errors.Is(err, platform.ErrDropped):
 		f.Dropped(time.Now())
-		d.part("store").Info("The store has dropped its history, all is read again.", "part", part)
+		d.part("store").Info("The store has dropped its history, all is read again.", "revision", f.Revision())
 		return false, nil
 	case err != nil:
 		d.readFailed(f, ctx)
@@ -131,12 +126,12 @@
 }
 
 // noteStore tells the log when the store is lost and when it is back.
-func (d *Daemon) noteStore(part string, before bool, f *follow.Follower, err error) {
+func (d *Daemon) noteStore(before bool, f *follow.Follower, err error) {
 	switch after := f.Troubled(); {
 	case after && !before:
-		d.part("store").Warn("The store is lost.", "part", part, "revision", f.Revision(), "error", err)
+		d.part("store").Warn("The store is lost.", "revision", f.Revision(), "error", err)
 	case before && !after:
-		d.part("store").Info("The store is back.", "part", part, "revision", f.Revision())
+		d.part("store").Info("The store is back.", "revision", f.Revision())
 	}
 }
 
@@ -156,9 +151,9 @@
 	seen map[string]uint64
 }
 
-func (feed *documentFeed) feed(f *follow.Follower, _ time.Time) {
+func (feed *documentFeed) feed(f *follow.Follower) {
 	for _, item := range f.Items() {
-		if item.Revision <= feed.seen[item.Key] {
+		if !strings.HasPrefix(item.Key, platform.Documents) || item.Revision <= feed.seen[item.Key] {
 			continue
 		}
 		feed.seen[item.Key] = item.Revision
@@ -195,6 +190,9 @@
 		}
 	}
 	for key, item := range items {
+		if !strings.HasPrefix(key, platform.Upstreams) {
+			continue
+		}
 		r, known := feed.read[key]
 		if !known || r.revision != item.Revision {
 			r = feed.decode(item, now)
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		stop()
 		p.discard(c)
+		settle(ctx)
 		if ctx.Err() == nil && errors.Is(err, ErrLost) {
 			p.Flush()
 		}
@@ -48,6 +49,23 @@
 	return nil
 }
 
+// settleLimit bounds the wait for a context whose deadline has passed.
+const settleLimit = 50 * time.Millisecond
+
+// settle waits for the end of the context where the connection's own deadline,
+// which is the same moment, fired first.
+func settle(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); !ok || time.Now().Before(deadline) {
+		return
+	}
+	limit := time.NewTimer(settleLimit)
+	defer limit.Stop()
+	select {
+	case <-ctx.Done():
+	case <-limit.C:
+	}
+}
+
 // converse sends the request and reads the answer. A request that expects 100
 // (RFC 9110, section 10.1.1) sends its body only when the server asks for it; a
 // server that answers at once has not seen the body.
--- /dev/null
+++ b/exchange/foreign_test.go
@@ -0,0 +1,199 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"pomelodoor.example/pomelodoor/exchange"
+)
+
+// serveRaw answers each request with what answer returns.
+func serveRaw(t *testing.T, answer func(r *http.Request) string) (address string, connections *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	connections = &atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					text := answer(r)
+					if text == "" {
+						return
+					}
+					_, _ = io.WriteString(c, text)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+// exchangeOnce sends a GET named id and returns the answer's body.
+func exchangeOnce(p *exchange.Pool, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetRequestURI("/")
+	req.Header.SetHost("h")
+	req.Header.Set("Id", id)
+	err := p.Do(ctx, req, resp)
+	return string(resp.Body()), err
+}
+
+func sameID(req *fasthttp.Request, resp *fasthttp.Response) bool {
+	return string(req.Header.Peek("Id")) == string(resp.Header.Peek("Id"))
+}
+
+func TestForeignAnswers(t *testing.T) {
+	answer := func(id, body string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 3\r\n\r\n" + body
+	}
+	tests := map[string]struct {
+		text string
+		body string
+		lost bool
+	}{
+		"own":                  {text: answer("a", "own"), body: "own"},
+		"another's first":      {text: answer("z", "old") + answer("a", "own"), body: "own"},
+		"two others first":     {text: answer("y", "old") + answer("z", "old") + answer("a", "own"), body: "own"},
+		"nothing but others":   {text: answer("x", "old") + answer("y", "old") + answer("z", "old") + answer("a", "own"), lost: true},
+		"another's in chunks":  {text: "HTTP/1.1 200 OK\r\nId: z\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + answer("a", "own"), lost: true},
+		"another's cut, ended": {text: "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 30\r\n\r\nold", lost: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := serveRaw(t, func(*http.Request) string { return test.text })
+			p := exchange.New(exchange.Config{Address: address, Mine: sameID})
+			defer p.Close()
+			body, err := exchangeOnce(p, "a")
+			if errors.Is(err, exchange.ErrLost) != test.lost || !test.lost && body != test.body {
+				t.Fatalf("got %q, %v", body, err)
+			}
+		})
+	}
+}
+
+func TestKeepAliveIsBelieved(t *testing.T) {
+	tests := map[string]struct {
+		header string
+		again  bool
+	}{
+		"nothing said":   {"", true},
+		"long enough":    {"Keep-Alive: timeout=5, max=100\r\n", true},
+		"one second":     {"Keep-Alive: timeout=1\r\n", false},
+		"not a number":   {"Keep-Alive: timeout=soon\r\n", true},
+		"something else": {"Keep-Alive: max=3\r\n", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, connections := serveRaw(t, func(*http.Request) string {
+				return "HTTP/1.1 200 OK\r\n" + test.header + "Content-Length: 0\r\n\r\n"
+			})
+			p := exchange.New(exchange.Config{Address: address})
+			defer p.Close()
+			if _, err := exchangeOnce(p, "a"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(700 * time.Millisecond)
+			if _, err := exchangeOnce(p, "b"); err != nil {
+				t.Fatal(err)
+			}
+			if again := connections.Load() == 1; again != test.again {
+				t.Fatalf("%d connections", connections.Load())
+			}
+		})
+	}
+}
+
+// TestABreakEmptiesThePool: connections that were idle when another one broke
+// tend to be broken too.
+func TestABreakEmptiesThePool(t *testing.T) {
+	address, _ := serveRaw(t, func(r *http.Request) string {
+		switch r.Header.Get("Id") {
+		case "break":
+			return ""
+		case "wait":
+			time.Sleep(100 * time.Millisecond)
+		}
+		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	})
+	p := exchange.New(exchange.Config{Address: address})
+	defer p.Close()
+	done := make(chan error, 3)
+	for range 3 {
+		go func() {
+			_, err := exchangeOnce(p, "wait")
+			done <- err
+		}()
+	}
+	for range 3 {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := p.Open(); n != 3 {
+		t.Fatalf("%d connections open", n)
+	}
+	if _, err := exchangeOnce(p, "break"); !errors.Is(err, exchange.ErrLost) {
+		t.Fatalf("got %v", err)
+	}
+	if n := p.Open(); n != 0 {
+		t.Fatalf("%d connections are kept after a break", n)
+	}
+}
+
+// TestDeadlineIsToldFromABreak: the connection's own deadline and that of the
+// context are the same moment, and either may fire first.
+func TestDeadlineIsToldFromABreak(t *testing.T) {
+	address, _ := serveRaw(t, func(*http.Request) string {
+		time.Sleep(100 * time.Millisecond)
+		return ""
+	})
+	p := exchange.New(exchange.Config{Address: address, MaxConns: 400})
+	defer p.Close()
+	errs := make(chan error, 300)
+	for range cap(errs) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 40*time.Millisecond)
+			defer cancel()
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.Header.SetRequestURI("/")
+			req.Header.SetHost("h")
+			errs <- p.Do(ctx, req, resp)
+		}()
+	}
+	for range cap(errs) {
+		if err := <-errs; !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("got %v", err)
+		}
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -10,8 +10,9 @@
 	// few calls.
 	DefaultWatchFor = 30 * time.Second
 	// DefaultGather is how long a watch is put off after a change, so that
-	// changes that come together cost one call.
-	DefaultGather = 150 * time.Millisecond
+	// changes that come together cost one call. It is half of the shortest time
+	// in which the platform wants a change in force.
+	DefaultGather = time.Second
 	// DefaultKeepFor is how long a key that went during trouble is kept after
 	// the store's return.
 	DefaultKeepFor = 2500 * time.Millisecond
@@ -21,13 +22,11 @@
 	// firstBackoff is the wait after the first failure; each further one
 	// doubles it, up to lastBackoff.
 	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = time.Second
+	lastBackoff  = 1600 * time.Millisecond
 )
 
 // Config sets up a Follower. Zero durations take the defaults.
 type Config struct {
-	// Prefix begins every key of the part that is followed.
-	Prefix string
 	// WatchFor is how long one watch waits for a change.
 	WatchFor time.Duration
 	// Gather is how long a watch is put off after a change.
@@ -76,7 +75,7 @@
 	AsOf uint64
 }
 
-// Follower is the copy of one part of the store, and the state of its reading.
+// Follower is the copy of the store, and the state of its reading.
 type Follower struct {
 	cfg   Config
 	items map[string]Item
--- /dev/null
+++ b/node/direct_test.go
@@ -0,0 +1,294 @@
+package node_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/measure"
+	"pomelodoor.example/pomelodoor/membership"
+	"pomelodoor.example/pomelodoor/node"
+)
+
+// solo is one node that reads the store itself, with its time.
+type solo struct {
+	*node.Node
+	t   *testing.T
+	now time.Time
+}
+
+func directNode(t *testing.T, assumed ...config.Action) *solo {
+	t.Helper()
+	now := time.Unix(1_800_000_000, 0)
+	random := rand.New(rand.NewPCG(3, 4))
+	self := membership.Instance{ID: "self:2", Service: "faults", AvailabilityZone: "a", Peer: "self:2", Control: "self:3"}
+	return &solo{t: t, now: now, Node: node.New(node.Config{
+		Self: self, Incarnation: 9, Started: now, Rand: random.Uint64, Direct: true, Assumed: assumed,
+		Retry: node.SharedBudget{Share: 0.2, Extra: 60, Window: 10 * time.Second}, ProbesPerSecond: 60,
+	})}
+}
+
+func (l *solo) do(m node.Message) []node.Command { return l.Update(m, l.now) }
+
+func (l *solo) after(d time.Duration) { l.now = l.now.Add(d) }
+
+// routes puts a routes document in force whose parts are given as JSON.
+func (l *solo) routes(revision int, parts string) []node.Command {
+	out := l.do(node.DocumentRead{Key: "routes", Body: fmt.Appendf(nil, `{"kind":"routes","revision":%d,
+	 "services":[{"service":"faults"},{"service":"orders"}],
+	 "routes":[{"name":"look","host":"h","prefix":"/look/","idempotent":true,"rank":2,"timeoutMs":1000,"targetMs":400,"attempts":2,"parts":%s},
+	  {"name":"order","host":"h","prefix":"/order/","timeoutMs":1000,"targetMs":400,"attempts":2,"parts":%s}]}`, revision, parts, parts)})
+	return append(out, l.do(node.DocumentsComplete{})...)
+}
+
+func (l *solo) list(ids ...string) []node.Command {
+	var list []membership.Listing
+	for _, id := range ids {
+		e := membership.Listing{Incarnation: 5, State: membership.Live}
+		e.ID, e.Upstream, e.Service, e.AvailabilityZone, e.Slots = id, "i-"+id, "faults", "a", 10
+		e.Peer, e.Control = id, id+"c"
+		list = append(list, e)
+	}
+	return l.do(node.InstancesListed{List: list, Revision: 1})
+}
+
+func (l *solo) request(id, path string) []node.Command {
+	return l.do(node.CallerRequest{Request: call.Request{
+		ID: id, Token: "t-" + id, Host: "h", Path: path, Method: "POST", Caller: "faults", Replayable: true,
+		Deadline: l.now.Add(900 * time.Millisecond),
+	}})
+}
+
+func find[T node.Command](commands []node.Command) (T, bool) {
+	for _, c := range commands {
+		if found, ok := c.(T); ok {
+			return found, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+const onlyFaults = `[{"service":"faults"}]`
+
+func TestDirectAnswersWithoutAnUpstream(t *testing.T) {
+	tests := map[string]struct {
+		know   func(*solo)
+		path   string
+		reason call.Reason
+		status int
+	}{
+		"nothing is known": {func(*solo) {}, "/look/1", call.NoConfiguration, 503},
+		"only the list":    {func(l *solo) { l.list("b:2") }, "/look/1", call.NoConfiguration, 503},
+		"only switches": {func(l *solo) {
+			l.do(node.DocumentRead{Key: "switches", Body: []byte(`{"kind":"switches","revision":1}`)})
+			l.do(node.DocumentsComplete{})
+		}, "/look/1", call.NoConfiguration, 503},
+		"only the routes": {func(l *solo) { l.routes(1, onlyFaults) }, "/look/1", call.NoUpstream, 503},
+		"no such route": {func(l *solo) {
+			l.routes(1, onlyFaults)
+			l.list("b:2")
+		}, "/none/", call.UnknownService, 404},
+		"an unreadable configuration": {func(l *solo) {
+			l.do(node.DocumentRead{Key: "routes", Err: errors.New("cut short")})
+			l.list("b:2")
+		}, "/look/1", call.NoConfiguration, 503},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := directNode(t, config.Retry)
+			test.know(l)
+			a, ok := find[node.Answer](l.request("1", test.path))
+			if !ok || a.Outcome != call.NotRun || a.Reason != test.reason || call.Status(a.Outcome, a.Reason) != test.status || a.ComeBack <= 0 {
+				t.Fatalf("got %+v", a)
+			}
+		})
+	}
+}
+
+func TestRouteFillsInTheRequest(t *testing.T) {
+	l := directNode(t, config.Retry)
+	l.routes(1, onlyFaults)
+	l.list("b:2")
+	tests := map[string]struct {
+		path   string
+		repeat call.Repeat
+		rank   int
+	}{
+		"safe":   {"/look/1", call.Safe, 2},
+		"unsafe": {"/order/1", call.Unsafe, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f, ok := find[node.Forward](l.request(name, test.path))
+			r := f.Request
+			if !ok || r.Service != "faults" || r.Repeat != test.repeat || r.Priority.Rank() != test.rank ||
+				!r.Target.Equal(l.now.Add(400*time.Millisecond)) || !r.Deadline.Equal(l.now.Add(900*time.Millisecond)) ||
+				r.Upstream != "i-b:2" || f.Incarnation != 0 {
+				t.Fatalf("got %+v", f)
+			}
+		})
+	}
+}
+
+// TestPartsKeepTheirShares: each daemon by itself keeps close to the weights.
+func TestPartsKeepTheirShares(t *testing.T) {
+	l := directNode(t)
+	l.routes(1, `[{"service":"faults","weight":90},{"service":"orders","weight":10}]`)
+	l.list("b:2")
+	for _, n := range []int{20, 100, 500} {
+		orders := 0
+		for i := range n {
+			out := l.request(fmt.Sprintf("%d-%d", n, i), "/look/1")
+			if f, ok := find[node.Forward](out); !ok || f.Request.Service == "orders" {
+				orders++
+			}
+		}
+		if share := float64(orders) / float64(n); share < 0.05 || share > 0.15 {
+			t.Errorf("%d of %d requests went to the part of a tenth", orders, n)
+		}
+	}
+}
+
+func TestAgain(t *testing.T) {
+	refused := func(reason call.Reason) node.Attempt {
+		return node.Attempt{Outcome: call.NotRun, Reason: reason, Answered: true}
+	}
+	lost := node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost}
+	failed := node.Attempt{Outcome: call.Run, Status: 500, Answered: true}
+	tests := map[string]struct {
+		path    string
+		off     bool
+		results []node.Attempt
+		// sends is how many attempts are made in all.
+		sends int
+		// answer is what the caller is told in the end; "" is an upstream's.
+		answer call.Outcome
+	}{
+		"turned away twice":           {path: "/order/1", results: []node.Attempt{refused(call.Slow), refused(call.Overloaded)}, sends: 3},
+		"turned away by all":          {path: "/order/1", results: []node.Attempt{refused(call.Overloaded), refused(call.Overloaded), refused(call.Overloaded), refused(call.Overloaded)}, sends: 4, answer: call.NotRun},
+		"an order that was lost":      {path: "/order/1", results: []node.Attempt{lost}, sends: 1, answer: call.Unknown},
+		"an order that failed":        {path: "/order/1", results: []node.Attempt{failed}, sends: 1},
+		"an order shed":               {path: "/order/1", results: []node.Attempt{refused(call.UpstreamShed)}, sends: 2},
+		"a lookup that was lost":      {path: "/look/1", results: []node.Attempt{lost}, sends: 2},
+		"a lookup lost twice":         {path: "/look/1", results: []node.Attempt{lost, lost}, sends: 2, answer: call.Unknown},
+		"lost after it was turned":    {path: "/order/1", results: []node.Attempt{refused(call.Slow), lost}, sends: 2, answer: call.Unknown},
+		"retries are switched off":    {path: "/look/1", off: true, results: []node.Attempt{lost}, sends: 1, answer: call.Unknown},
+		"turned away, switched off":   {path: "/look/1", off: true, results: []node.Attempt{refused(call.Slow)}, sends: 1, answer: call.NotRun},
+		"an upstream that was a life": {path: "/order/1", results: []node.Attempt{refused(call.UpstreamReplaced)}, sends: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := directNode(t, config.Retry, config.LoadAware, config.SpillOver)
+			if test.off {
+				l = directNode(t)
+			}
+			l.routes(1, onlyFaults)
+			l.list("b:2", "c:2", "d:2", "e:2", "f:2")
+			sends, told := 0, call.Outcome("")
+			out := l.request("1", test.path)
+			for {
+				f, ok := find[node.Forward](out)
+				if !ok {
+					break
+				}
+				sends++
+				if sends > len(test.results) {
+					break
+				}
+				l.after(5 * time.Millisecond)
+				out = l.do(node.AttemptEnded{ID: "1", Number: f.Number, Result: test.results[sends-1]})
+			}
+			if a, ok := find[node.Answer](out); ok {
+				told = a.Outcome
+			}
+			if sends != test.sends || told != test.answer {
+				t.Fatalf("%d attempts, told %q", sends, told)
+			}
+		})
+	}
+}
+
+// TestOwnUpstream follows the gate beside the daemon's own upstream.
+func TestOwnUpstream(t *testing.T) {
+	l := directNode(t, config.Probe, config.LoadAware, config.Shed)
+	l.routes(1, onlyFaults)
+	peer := func(id string) []node.Command {
+		return l.do(node.PeerRequest{From: "b:2", Target: "self:2", Request: call.Request{
+			ID: id, Service: "faults", Route: "look", Priority: call.Ranked(2),
+			Target: l.now.Add(400 * time.Millisecond), Deadline: l.now.Add(900 * time.Millisecond),
+		}})
+	}
+	if r, ok := find[node.Refuse](peer("early")); !ok || r.Outcome != call.NotRun || r.Reason != call.Leaving {
+		t.Fatalf("before the upstream is listed: %+v", r)
+	}
+	l.list("self:2", "b:2")
+	l.do(node.Tick{})
+	l.do(node.PeerRequest{From: "b:2", Target: "self:2", Request: call.Request{
+		ID: "0", Service: "faults", Deadline: l.now.Add(time.Second),
+	}})
+	l.do(node.RunEnded{ID: "0", Outcome: call.Run, Status: 200, Latency: 10 * time.Millisecond})
+	l.after(100 * time.Millisecond)
+	out := peer("1")
+	if _, ok := find[node.Probe](out); !ok {
+		t.Fatalf("no probe before the start: %+v", out)
+	}
+	l.after(time.Millisecond)
+	out = l.do(node.ProbeEnded{Reading: measure.Reading{State: measure.Serving, PacePercent: 100}})
+	if run, ok := find[node.Run](out); !ok || run.ID != "1" || run.Pace != 100 {
+		t.Fatalf("not started: %+v", out)
+	}
+	out = l.do(node.RunEnded{ID: "1", Outcome: call.Run, Status: 200, Latency: 100 * time.Millisecond,
+		Reading: measure.Reading{PacePercent: 500}, HasReading: true})
+	if _, ok := find[node.WakeGate](out); !ok {
+		t.Fatalf("a slow upstream is not looked at again: %+v", out)
+	}
+	if r, ok := find[node.Refuse](peer("2")); !ok || r.Reason != call.Slow {
+		t.Fatalf("while slow: %+v", r)
+	}
+	l.list("b:2")
+	if r, ok := find[node.Refuse](peer("3")); !ok || r.Reason != call.Leaving {
+		t.Fatalf("after the upstream has gone: %+v", r)
+	}
+	l.list("self:2", "b:2")
+	l.after(50 * time.Millisecond)
+	if _, ok := find[node.Probe](peer("4")); !ok {
+		t.Fatal("an upstream that is back gets no work")
+	}
+}
+
+func TestPausedProcessAsksTheStoreFirst(t *testing.T) {
+	l := directNode(t, config.Retry)
+	l.routes(1, onlyFaults)
+	l.list("self:2", "b:2")
+	l.do(node.Tick{})
+	l.after(5 * time.Second)
+	if _, ok := find[node.RereadStore](l.do(node.Tick{})); !ok {
+		t.Fatal("the store is not asked after a pause")
+	}
+	request := node.PeerRequest{From: "b:2", Target: "self:2", Request: call.Request{
+		ID: "1", Service: "faults", Deadline: l.now.Add(time.Second),
+	}}
+	if r, ok := find[node.Refuse](l.do(request)); !ok || r.Reason != call.Stale || r.Outcome != call.NotRun {
+		t.Fatalf("a run is started on old knowledge: %+v", r)
+	}
+	l.do(node.StoreAnswered{})
+	request.Request.ID = "2"
+	if r, ok := find[node.Refuse](l.do(request)); ok {
+		t.Fatalf("refused after the store has answered: %+v", r)
+	}
+}
+
+func TestOlderRoutesNeverComeBack(t *testing.T) {
+	l := directNode(t)
+	l.routes(7, onlyFaults)
+	l.list("b:2")
+	l.routes(6, `[{"service":"orders"}]`)
+	if f, ok := find[node.Forward](l.request("1", "/look/1")); !ok || f.Request.Service != "faults" {
+		t.Fatalf("an older document is in force: %+v", f)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -144,10 +144,14 @@
 		}),
 	}
 	n.config.Assume(cfg.Assumed)
-	if !cfg.Direct {
-		n.spread = n.newSpread(cfg.Started)
-		n.announce(cfg.Started)
+	if cfg.Direct {
+		// The own upstream gets no work before the list names it.
+		n.view.Replace(nil, cfg.Started)
+		n.gate.Drain(cfg.Started)
+		return n
 	}
+	n.spread = n.newSpread(cfg.Started)
+	n.announce(cfg.Started)
 	return n
 }
 
--- /dev/null
+++ b/retry/elsewhere_test.go
@@ -0,0 +1,64 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/retry"
+)
+
+func TestElsewhere(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	later := now.Add(time.Second)
+	tests := map[string]struct {
+		off  bool
+		try  retry.Try
+		want retry.Rule
+	}{
+		"first refusal":        {try: retry.Try{Refused: 1, Replayable: true, Deadline: later}, want: retry.RuleAllowed},
+		"not idempotent":       {try: retry.Try{Refused: 1, Deadline: later}, want: retry.RuleAllowed},
+		"too many refusals":    {try: retry.Try{Refused: 4, Deadline: later}, want: retry.RuleAttempts},
+		"body taken":           {try: retry.Try{Refused: 1, BodyTaken: true, Deadline: later}, want: retry.RuleBody},
+		"past the deadline":    {try: retry.Try{Refused: 1, Deadline: now}, want: retry.RuleDeadline},
+		"retries switched off": {off: true, try: retry.Try{Refused: 1, Deadline: later}, want: retry.RuleOff},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := retry.New(retry.Config{Retry: !test.off})
+			if got := p.Elsewhere(test.try, now); got.Rule != test.want {
+				t.Fatalf("got %+v", got)
+			}
+		})
+	}
+}
+
+func TestMostAttemptsOfARoute(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	for made, want := range map[int]retry.Rule{1: retry.RuleAllowed, 2: retry.RuleAttempts} {
+		try := retry.Try{Idempotent: true, Replayable: true, Made: made, Most: 2, Last: call.Unknown, Deadline: now.Add(time.Second)}
+		if got := retry.Decide(try, now); got.Rule != want {
+			t.Errorf("after %d attempts: %+v", made, got)
+		}
+	}
+}
+
+// TestSharedBudget: twelve daemons together keep to what a window allows.
+func TestSharedBudget(t *testing.T) {
+	const daemons, extra, window = 12, 60.0, 10
+	total := 0
+	for range daemons {
+		now := time.Unix(1_800_000_000, 0)
+		p := retry.New(retry.Config{Retry: true, RetryPercent: 10, Floor: extra / 2 / window / daemons, Saved: max(extra/4/daemons, 1)})
+		try := retry.Try{Idempotent: true, Replayable: true, Made: 1, Last: call.Unknown, Deadline: now.Add(time.Hour)}
+		for range window * 100 {
+			now = now.Add(10 * time.Millisecond)
+			if p.Again(try, now).Allowed {
+				total++
+			}
+		}
+	}
+	if total == 0 || total > extra {
+		t.Fatalf("%d further attempts in a window that allows %g", total, extra)
+	}
+}
