Tell the load in the own zone, follow waits slot by slot, hand on within a zone

Change: a daemon tells all of its zone when its pace changes or its calls by two; all upstreams of the own zone are compared by what is expected; the gate follows its slots to predict a wait; a request of another zone that would be turned away is handed on within this zone, where loads are known.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -85,11 +85,18 @@
 	Reason call.Reason
 }
 
+// running is one call that the upstream runs.
+type running struct {
+	cancelled bool
+	// ends is when it is expected to end; zero when its work is not known.
+	ends time.Time
+}
+
 // Gate holds the calls at one upstream. It is not safe for concurrent use.
 type Gate struct {
 	limits     Limits
 	pauseLimit time.Duration
-	running    map[string]bool // true once cancelled
+	running    map[string]*running
 	queue      queue
 	service    average
 	pace       pace
@@ -112,7 +119,7 @@
 	return &Gate{
 		limits:     Limits{Slots: cfg.Slots, Queue: cfg.Queue, Shed: cfg.Shed},
 		pauseLimit: cfg.PauseLimit,
-		running:    make(map[string]bool),
+		running:    make(map[string]*running),
 		queue:      queue{byUrgency: cfg.Shed},
 	}
 }
@@ -130,7 +137,7 @@
 		return append(actions, g.fill(now)...)
 	}
 	if len(g.running) < g.limits.Slots {
-		return append(actions, g.start(req.ID))
+		return append(actions, g.start(req, now))
 	}
 	return append(actions, g.enqueue(req, now)...)
 }
@@ -152,11 +159,11 @@
 // running one the upstream is told once, and Finish is still awaited.
 func (g *Gate) Leave(callID string, now time.Time) []Action {
 	actions := g.advance(now)
-	if cancelled, ok := g.running[callID]; ok {
-		if cancelled {
+	if r, ok := g.running[callID]; ok {
+		if r.cancelled {
 			return actions
 		}
-		g.running[callID] = true
+		r.cancelled = true
 		return append(actions, Action{Kind: Cancel, CallID: callID})
 	}
 	if g.queue.remove(callID) {
--- a/admit/decide.go
+++ b/admit/decide.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"pomelodoor.example/pomelodoor/call"
@@ -75,7 +77,7 @@
 	if g.limits.Slots == 0 {
 		return true
 	}
-	wait := g.wait(g.queue.ahead(req))
+	wait := g.waitFor(g.queue.ahead(req), now)
 	if now.Add(wait).After(req.Deadline) {
 		return true
 	}
@@ -95,14 +97,52 @@
 	return now.Add(wait + req.Work).After(req.Target)
 }
 
+// waitFor predicts how long a call waits behind the first queued ones. Where
+// the work of calls is known it follows the slots one by one.
+func (g *Gate) waitFor(ahead int, now time.Time) time.Duration {
+	if !g.limits.Paced || g.limits.Slots == 0 {
+		return g.wait(ahead)
+	}
+	free := g.freeTimes(now)
+	for _, w := range g.queue.calls[:ahead] {
+		first := slices.Index(free, slices.MinFunc(free, time.Time.Compare))
+		free[first] = free[first].Add(cmp.Or(w.req.Work, g.service.mean))
+	}
+	return slices.MinFunc(free, time.Time.Compare).Sub(now)
+}
+
+// freeTimes returns when each slot is expected to be free and to take a call.
+func (g *Gate) freeTimes(now time.Time) []time.Time {
+	open := now.Add(g.pace.left(now))
+	free := make([]time.Time, 0, max(g.limits.Slots, len(g.running)))
+	for _, r := range g.running {
+		ends := r.ends
+		if ends.Before(now) {
+			ends = now.Add(g.service.mean / 2)
+		}
+		if ends.Before(open) {
+			ends = open
+		}
+		free = append(free, ends)
+	}
+	for len(free) < g.limits.Slots {
+		free = append(free, open)
+	}
+	return free
+}
+
 // wait predicts how long a call waits behind the given number of queued ones.
 func (g *Gate) wait(ahead int) time.Duration {
 	return g.service.mean * time.Duration(ahead+1) / time.Duration(max(g.limits.Slots, 1))
 }
 
-func (g *Gate) start(callID string) Action {
-	g.running[callID] = false
-	return Action{Kind: Start, CallID: callID}
+func (g *Gate) start(req call.Request, now time.Time) Action {
+	r := &running{}
+	if g.limits.Paced && req.Work > 0 {
+		r.ends = now.Add(req.Work + max(g.pace.extra(req), 0))
+	}
+	g.running[req.ID] = r
+	return Action{Kind: Start, CallID: req.ID}
 }
 
 // fill starts queued calls while slots are free. advance has already removed
@@ -113,7 +153,7 @@
 	}
 	var actions []Action
 	for !g.draining && len(g.running) < g.limits.Slots && g.queue.len() > 0 {
-		actions = append(actions, g.start(g.queue.popFirst().req.ID))
+		actions = append(actions, g.start(g.queue.popFirst().req, now))
 	}
 	return actions
 }
--- a/admit/load.go
+++ b/admit/load.go
@@ -48,7 +48,7 @@
 		Woke:        !g.woke.IsZero() && now.Sub(g.woke) < g.pauseLimit,
 	}
 	if load.InFlight >= load.Slots {
-		load.Wait = g.wait(load.Queued)
+		load.Wait = g.waitFor(load.Queued, now)
 	}
 	return load
 }
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -80,6 +80,15 @@
 	return !p.slowSince.IsZero() && now.Sub(p.slowSince) > spellLimit*p.usualSpell()
 }
 
+// left is how much longer the slow spell is expected to last; none for one that
+// is not waited out.
+func (p *pace) left(now time.Time) time.Duration {
+	if !p.slow(now) || p.lasting(now) {
+		return 0
+	}
+	return max(p.usualSpell()-now.Sub(p.slowSince), remeasureSlow)
+}
+
 func (p *pace) usualSpell() time.Duration {
 	if p.spell == 0 {
 		return firstSpell
@@ -161,7 +170,7 @@
 		case leave:
 			actions = append(actions, refuse(w.req.ID, g.leaveReason(w, now)))
 		case begin:
-			actions = append(actions, g.start(w.req.ID))
+			actions = append(actions, g.start(w.req, now))
 		}
 		g.queue.remove(w.req.ID)
 	}
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -28,6 +28,10 @@
 	doubt = 2
 )
 
+// freshReport is the age up to which a report is believed as it is, where the
+// daemons of a zone tell each other.
+const freshReport = 300 * time.Millisecond
+
 // cost returns the time in nanoseconds that a call to u is expected to take,
 // without the link. work is what it takes at the usual pace; 0 when not known.
 func (p *Picker) cost(u *upstream, work float64, now time.Time) (drawn, mean float64) {
@@ -69,6 +73,8 @@
 	paceLife = 300 * time.Millisecond
 	// usualPace is the pace, in percent, of an upstream that nothing slows down.
 	usualPace = 100
+	// slowPace is the factor from which an upstream counts as slow.
+	slowPace = 1.5
 )
 
 // pace returns how much longer than usual work is expected to take there, as a
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -68,6 +68,10 @@
 		return
 	}
 	locals, remotes := choices, choices
+	if p.config.Near > choices {
+		locals = 0
+		p.scanNear(k)
+	}
 	for draws := drawsPerChoice * choices; draws > 0 && locals+remotes > 0; draws-- {
 		i := int(p.config.Rand() % uint64(n))
 		if k.candidates[i].Zone == p.config.SelfZone {
@@ -82,6 +86,22 @@
 	}
 }
 
+// scanNear compares candidates of the own availability zone, in order from a
+// random one.
+func (p *Picker) scanNear(k *pick) {
+	first, left := int(p.config.Rand()%uint64(len(k.candidates))), p.config.Near
+	for i := range k.candidates {
+		at := (first + i) % len(k.candidates)
+		if k.candidates[at].Zone != p.config.SelfZone {
+			continue
+		}
+		p.consider(k, at)
+		if left--; left == 0 {
+			return
+		}
+	}
+}
+
 // scan compares all candidates.
 func (p *Picker) scan(k *pick) {
 	first := int(p.config.Rand() % uint64(len(k.candidates)))
@@ -98,6 +118,10 @@
 		return
 	}
 	cost, mean := p.cost(u, float64(k.options.Work), k.now)
+	if p.config.Near > p.config.Choices && k.now.Sub(u.measured) < freshReport {
+		// Nothing is left to guess.
+		cost = mean
+	}
 	if candidate.Zone == p.config.SelfZone {
 		k.local.take(i, g, cost, mean)
 		return
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -30,6 +30,9 @@
 	// Choices is the number of candidates compared, in the own availability
 	// zone and outside it; 0 means 2.
 	Choices int
+	// Near is the number of candidates of the own availability zone that are
+	// compared where the reports of that zone are fresh; 0 means Choices.
+	Near int
 	// Ramp is how long a new upstream's share grows; 0 means 10 s.
 	Ramp time.Duration
 }
@@ -85,6 +88,9 @@
 	if config.Choices == 0 {
 		config.Choices = defaultChoices
 	}
+	if config.Near == 0 {
+		config.Near = config.Choices
+	}
 	if config.Ramp == 0 {
 		config.Ramp = defaultRamp
 	}
@@ -193,6 +199,12 @@
 	}
 }
 
+// Slow reports whether an upstream is expected to be slow or full at this moment.
+func (p *Picker) Slow(id string, now time.Time) bool {
+	u := p.upstream(id)
+	return u.pace(now) >= slowPace || u.expected(now) >= float64(max(u.load.Slots, 1))
+}
+
 // Choice is what a choice rested on, for the log.
 type Choice struct {
 	// Cost is the time that a call is expected to take at the upstream.
--- a/node/admission.go
+++ b/node/admission.go
@@ -63,7 +63,7 @@
 // refuseOrHandOn ends a request that the gate will not start, unless a sibling
 // may take it.
 func (n *Node) refuseOrHandOn(run *runState, reason call.Reason, now time.Time) Command {
-	if reason == call.Overloaded && n.config.Allowed(config.HandOn) {
+	if n.mayHandOn(reason) {
 		if c, ok := n.handOn(run, now); ok {
 			return c
 		}
@@ -71,6 +71,15 @@
 	return n.refuse(run, call.NotRun, reason, now)
 }
 
+// mayHandOn reports whether a request that is turned away for the reason may be
+// passed to a sibling.
+func (n *Node) mayHandOn(reason call.Reason) bool {
+	if !n.config.Allowed(config.HandOn) {
+		return false
+	}
+	return reason == call.Overloaded || reason == call.Slow && n.direct()
+}
+
 // refuse ends a request that did not run here. A key that was let run is given
 // back, so that a resend may run.
 func (n *Node) refuse(run *runState, outcome call.Outcome, reason call.Reason, now time.Time) Command {
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -51,12 +51,24 @@
 			SelfZone: n.view.Self().AvailabilityZone,
 			LinkCost: n.links.cost,
 			Rand:     n.cfg.Rand,
+			Near:     n.nearChoices(),
 		})
 		n.pickers[service.Name()] = p
 	}
 	return p
 }
 
+// nearCompared is the number of upstreams of the own zone that are compared
+// where their daemons tell each other of their load.
+const nearCompared = 16
+
+func (n *Node) nearChoices() int {
+	if n.direct() {
+		return nearCompared
+	}
+	return 0
+}
+
 // policy returns the service's retry policy with the settings in force.
 func (n *Node) policy(service *config.Service, now time.Time) *retry.Policy {
 	settings := retry.Config{
--- a/node/handon.go
+++ b/node/handon.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"slices"
 	"time"
 
+	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/membership"
@@ -16,14 +18,33 @@
 		return nil, false
 	}
 	list := n.candidates(service, selector).list
-	options := n.pickOptions(&callState{service: service})
+	if n.direct() {
+		if run.from == n.self() || n.sameZone(run.from) {
+			// The sender knows the zone as well as this daemon does.
+			return nil, false
+		}
+		list = n.zoneOnly(list)
+	}
+	options := n.pickOptions(&callState{service: service, request: run.request})
 	i, ok := n.pick(service, list, []string{n.self(), run.from}, options, now)
-	if !ok {
+	if !ok || n.direct() && n.picker(service).Slow(list[i].ID, now) {
 		return nil, false
 	}
 	return n.handOnTo(run, service, list[i].ID, now)
 }
 
+func (n *Node) sameZone(id string) bool {
+	r, ok := n.view.Lookup(id)
+	return ok && r.AvailabilityZone == n.cfg.Self.AvailabilityZone
+}
+
+// zoneOnly returns the candidates of the own availability zone.
+func (n *Node) zoneOnly(list []balance.Candidate) []balance.Candidate {
+	return slices.DeleteFunc(slices.Clone(list), func(c balance.Candidate) bool {
+		return c.Zone != n.cfg.Self.AvailabilityZone
+	})
+}
+
 // handOnTo passes a request to one sibling.
 func (n *Node) handOnTo(run *runState, service *config.Service, target string, now time.Time) (Command, bool) {
 	record, ok := n.view.Lookup(target)
--- a/node/node.go
+++ b/node/node.go
@@ -101,8 +101,10 @@
 	callers map[string]time.Time
 	// work is what each route's requests take at the usual pace.
 	work map[string]time.Duration
-	// paceTold and paceToldAt are what the callers were last told, and when.
+	// paceTold, callsTold and paceToldAt are what the zone was last told, and
+	// when.
 	paceTold   int
+	callsTold  int
 	paceToldAt time.Time
 	// gateDue is true while a WakeGate is under way.
 	gateDue bool
--- a/node/pace.go
+++ b/node/pace.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/measure"
+	"pomelodoor.example/pomelodoor/membership"
 )
 
 const (
@@ -18,10 +20,15 @@
 	paceChange = 1.4
 	// callerLife is how long a daemon that sent requests is told of the load.
 	callerLife = 10 * time.Second
-	// maxCallers bounds the daemons that are told.
+	// maxCallers is the size of a zone up to which all its daemons are told, and
+	// bounds the daemons that are remembered.
 	maxCallers = 64
 	// workWeight is the inverse of the share of one run in a route's work.
 	workWeight = 16
+	// loadChange is the number of calls more or less, and loadGather the least
+	// time, after which the load is told though the pace is the same.
+	loadChange = 2
+	loadGather = 100 * time.Millisecond
 	// minTold is the least time between two reports of the load to others.
 	minTold = 2 * time.Millisecond
 )
@@ -47,7 +54,7 @@
 func (n *Node) heardOwn(reading measure.Reading, now time.Time) []Command {
 	out := n.admit(n.gate.Measured(reading.PacePercent, now), now)
 	out = append(out, n.watchPace(now)...)
-	return append(out, n.tellCallers(now)...)
+	return append(out, n.tellZone(now)...)
 }
 
 // watchPace looks at a slow upstream again before long.
@@ -67,30 +74,46 @@
 	return append(out, n.watchPace(now)...)
 }
 
-// tellCallers tells the daemons of its availability zone that send requests here
-// when the pace changes. The others are told with their answers: links between
-// zones are dear, and they send less often than the pace changes.
-func (n *Node) tellCallers(now time.Time) []Command {
+// tellZone tells the daemons of its availability zone when the pace changes, and
+// now and then when the load does. The others are told with their answers: links
+// between zones are dear, and one daemon there sends less often than the pace
+// changes.
+func (n *Node) tellZone(now time.Time) []Command {
 	pace, _ := n.gate.Pace()
-	if pace == 0 || now.Sub(n.paceToldAt) < minTold || similar(pace, n.paceTold) {
+	load := n.Load(now)
+	since := now.Sub(n.paceToldAt)
+	calls := load.InFlight + load.Queued
+	moved := max(calls-n.callsTold, n.callsTold-calls) >= loadChange && since >= loadGather
+	if pace == 0 || since < minTold || similar(pace, n.paceTold) && !moved {
 		return nil
 	}
-	n.paceTold, n.paceToldAt = pace, now
-	load := n.Load(now)
+	n.paceTold, n.callsTold, n.paceToldAt = pace, calls, now
 	text := loadText{Load: string(load.Append(nil))}
 	var out []Command
-	for id, last := range n.callers {
-		if now.Sub(last) > callerLife {
-			delete(n.callers, id)
-			continue
-		}
-		if r, ok := n.view.Lookup(id); ok && r.AvailabilityZone == n.cfg.Self.AvailabilityZone {
-			out = append(out, n.send(id, kindLoad, text)...)
-		}
+	for _, id := range n.listeners(now) {
+		out = append(out, n.send(id, kindLoad, text)...)
 	}
 	return out
 }
 
+// listeners returns the daemons to tell: all of the own availability zone or, in
+// a large one, those that send requests here.
+func (n *Node) listeners(now time.Time) []string {
+	var zone []string
+	for _, r := range n.view.All() {
+		if r.ID != n.self() && r.AvailabilityZone == n.cfg.Self.AvailabilityZone && r.State != membership.Gone {
+			zone = append(zone, r.ID)
+		}
+	}
+	if len(zone) <= maxCallers {
+		return zone
+	}
+	return slices.DeleteFunc(zone, func(id string) bool {
+		last, known := n.callers[id]
+		return !known || now.Sub(last) > callerLife
+	})
+}
+
 func similar(a, b int) bool {
 	low, high := float64(min(a, b)), float64(max(a, b))
 	return low > 0 && high < paceChange*low
