A daemon that stops works until it closes

Ruled out: a shorter drain (callers leave only after two missed checks). Change: where daemons cannot tell each other, Shutdown ends readiness alone; new work is refused from Closing on, at the end of the drain.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -185,7 +185,7 @@
 	return commands
 }
 
-// Shutdown refuses new work, lets what is under way end, and closes the ports.
+// Shutdown tells that this daemon leaves, refuses new work, lets what is under way end, and closes the ports.
 // Callers are served until then, so that those who have not heard yet are not
 // cut off.
 func (d *Daemon) Shutdown() error {
@@ -195,8 +195,11 @@
 	told := time.Now()
 	limit := told.Add(d.settings.maxStop())
 	for now := told; now.Before(limit); now = time.Now() {
-		if now.Sub(told) >= d.settings.drain() && d.Idle() {
-			break
+		if now.Sub(told) >= d.settings.drain() {
+			d.update(node.Closing{})
+			if d.Idle() {
+				break
+			}
 		}
 		time.Sleep(idleCheck)
 	}
--- a/node/admission.go
+++ b/node/admission.go
@@ -235,5 +235,5 @@
 // leaving reports whether new work is refused for good or until the upstream
 // returns.
 func (n *Node) leaving() bool {
-	return n.stopping || n.gate.Draining()
+	return n.closing || n.gate.Draining()
 }
--- a/node/direct.go
+++ b/node/direct.go
@@ -72,7 +72,7 @@
 // followOwn opens and closes the gate as the own upstream comes and goes.
 func (n *Node) followOwn(before upstreamState, now time.Time) []Command {
 	after := n.upstreamState()
-	if after == before || n.stopping {
+	if after == before || n.closing {
 		return nil
 	}
 	out := n.limits(now)
--- a/node/message.go
+++ b/node/message.go
@@ -170,6 +170,9 @@
 // Shutdown says that this daemon is to stop once its work is done.
 type Shutdown struct{}
 
+// Closing says that this daemon is about to close its ports.
+type Closing struct{}
+
 func (CallerRequest) message()     {}
 func (CallerLeft) message()        {}
 func (AttemptEnded) message()      {}
@@ -191,3 +194,4 @@
 func (StoreAnswered) message()     {}
 func (Tick) message()              {}
 func (Shutdown) message()          {}
+func (Closing) message()           {}
--- a/node/node.go
+++ b/node/node.go
@@ -112,7 +112,9 @@
 	upstreamCold bool
 	// servingSince is when the upstream began to say that it serves.
 	servingSince time.Time
-	stopping     bool
+	// stopping is set by Shutdown, closing once no new work is accepted.
+	stopping bool
+	closing  bool
 }
 
 // New returns the node of a daemon that has just started and knows only
@@ -200,6 +202,8 @@
 		return n.tick(now)
 	case Shutdown:
 		return n.shutdown(now)
+	case Closing:
+		return n.close(now)
 	}
 	return n.updateFleet(m, now)
 }
@@ -267,12 +271,26 @@
 }
 
 // shutdown refuses new work and tells the other daemons. What runs goes on to
-// its end, and callers are still served.
+// its end, and callers are still served. A daemon that cannot tell the others
+// goes on working until Closing: its upstream stays, and work refused now would
+// only be missing there.
 func (n *Node) shutdown(now time.Time) []Command {
 	if n.stopping {
 		return nil
 	}
 	n.stopping = true
+	if n.direct() {
+		return nil
+	}
+	return n.close(now)
+}
+
+// close refuses new work from now on.
+func (n *Node) close(now time.Time) []Command {
+	if n.closing {
+		return nil
+	}
+	n.closing = true
 	out := n.admit(n.gate.Drain(now), now)
 	n.book.Leave()
 	if n.view.Leave(now) {
