Split what the linter found too branched; bound the log lines on one list

Change: at most 16 lines on one reading of the list, then their number; a reload is noted in the log; functions and tests split, with the same checks.

--- a/admit/pace_test.go
+++ b/admit/pace_test.go
@@ -152,67 +152,80 @@
 	}
 }
 
+// ledger follows what becomes of each call at a gate.
+type ledger struct {
+	t       *rapid.T
+	gate    *admit.Gate
+	slots   int
+	now     int
+	state   map[string]string
+	running []string
+}
+
+// note takes in actions: a call is started or refused once, while it is queued.
+func (l *ledger) note(actions []admit.Action) {
+	for _, a := range actions {
+		if a.Kind != admit.Start && a.Kind != admit.Refuse {
+			continue
+		}
+		if l.state[a.CallID] != "queued" {
+			l.t.Fatalf("%s of %s while %q", a.Kind, a.CallID, l.state[a.CallID])
+		}
+		l.state[a.CallID] = string(a.Kind)
+		if a.Kind == admit.Start {
+			l.running = append(l.running, a.CallID)
+		}
+	}
+	if len(l.running) > l.slots {
+		l.t.Fatalf("%d run in %d slots", len(l.running), l.slots)
+	}
+}
+
+// finish ends the call that has run longest, if there is one.
+func (l *ledger) finish() bool {
+	if len(l.running) == 0 {
+		return false
+	}
+	id := l.running[0]
+	l.running = l.running[1:]
+	l.note(l.gate.Finish(id, 50*time.Millisecond, ms(l.now)))
+	return true
+}
+
+// step makes one thing happen at the gate.
+func (l *ledger) step(next int) {
+	switch rapid.IntRange(0, 4).Draw(l.t, "what") {
+	case 0, 1:
+		r := paced(fmt.Sprint(next), l.now+rapid.IntRange(50, 600).Draw(l.t, "target"))
+		r.Patient = rapid.Bool().Draw(l.t, "patient")
+		l.state[r.ID] = "queued"
+		l.note(l.gate.Arrive(r, ms(l.now)))
+	case 2:
+		l.note(l.gate.Measured(rapid.SampledFrom([]int{0, 100, 200, 500}).Draw(l.t, "pace"), ms(l.now)))
+	case 3:
+		l.note(l.gate.Unmeasured(ms(l.now)))
+	case 4:
+		l.finish()
+	}
+}
+
 // TestPacedGateLosesNothing: each call is started or refused once, and never
 // more run than there are slots.
 func TestPacedGateLosesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		slots := rapid.IntRange(1, 4).Draw(t, "slots")
-		g := admit.New(admit.Config{})
-		g.Resize(admit.Limits{Slots: slots, Queue: 6, Shed: rapid.Bool().Draw(t, "shed"), Paced: true}, began)
-		now, next := 0, 0
-		state := map[string]string{}
-		running := []string{}
-		note := func(actions []admit.Action) {
-			for _, a := range actions {
-				switch a.Kind {
-				case admit.Start:
-					if state[a.CallID] != "queued" {
-						t.Fatalf("%s started while %q", a.CallID, state[a.CallID])
-					}
-					state[a.CallID] = "running"
-					running = append(running, a.CallID)
-				case admit.Refuse:
-					if state[a.CallID] != "queued" {
-						t.Fatalf("%s refused while %q", a.CallID, state[a.CallID])
-					}
-					state[a.CallID] = "refused"
-				}
-			}
-			if len(running) > slots {
-				t.Fatalf("%d run in %d slots", len(running), slots)
-			}
-		}
-		for range rapid.IntRange(1, 80).Draw(t, "steps") {
-			now += rapid.IntRange(0, 60).Draw(t, "ms")
-			switch rapid.IntRange(0, 4).Draw(t, "what") {
-			case 0, 1:
-				next++
-				r := paced(fmt.Sprint(next), now+rapid.IntRange(50, 600).Draw(t, "target"))
-				r.Patient = rapid.Bool().Draw(t, "patient")
-				state[r.ID] = "queued"
-				note(g.Arrive(r, ms(now)))
-			case 2:
-				note(g.Measured(rapid.SampledFrom([]int{0, 100, 200, 500}).Draw(t, "pace"), ms(now)))
-			case 3:
-				note(g.Unmeasured(ms(now)))
-			case 4:
-				if len(running) > 0 {
-					id := running[0]
-					running = running[1:]
-					note(g.Finish(id, 50*time.Millisecond, ms(now)))
-				}
-			}
+		l := &ledger{t: t, gate: admit.New(admit.Config{}), slots: rapid.IntRange(1, 4).Draw(t, "slots"), state: map[string]string{}}
+		l.gate.Resize(admit.Limits{Slots: l.slots, Queue: 6, Shed: rapid.Bool().Draw(t, "shed"), Paced: true}, began)
+		for next := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			l.now += rapid.IntRange(0, 60).Draw(t, "ms")
+			l.step(next)
 		}
 		for range 200 {
-			now += 100
-			note(g.Measured(100, ms(now)))
-			for len(running) > 0 {
-				id := running[0]
-				running = running[1:]
-				note(g.Finish(id, 50*time.Millisecond, ms(now)))
+			l.now += 100
+			l.note(l.gate.Measured(100, ms(l.now)))
+			for l.finish() {
 			}
 		}
-		for id, s := range state {
+		for id, s := range l.state {
 			if s == "queued" {
 				t.Fatalf("%s is still queued", id)
 			}
--- a/cmd/pomelodoor/run.go
+++ b/cmd/pomelodoor/run.go
@@ -25,9 +25,8 @@
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	// The flags do not change while a daemon runs, so there is nothing to read
-	// again.
-	signal.Ignore(syscall.SIGHUP)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	lines := logline.New(logline.Config{To: logTo})
 	defer lines.Close(logTime)
 	d, err := daemon.Start(*settings, newLogger(settings, lines), daemon.Seams{Lines: lines})
@@ -35,13 +34,26 @@
 		return fmt.Errorf("start the daemon: %w", err)
 	}
 	expvar.Publish("pomelodoor", d.Vars())
-	<-stop
+	waitForStop(stop, reload, d)
 	if err := d.Shutdown(); err != nil {
 		return fmt.Errorf("stop the daemon: %w", err)
 	}
 	return nil
 }
 
+// waitForStop returns with the first signal to stop. Settings are flags and do
+// not change while a daemon runs, so a reload is only noted.
+func waitForStop(stop, reload chan os.Signal, d *daemon.Daemon) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-reload:
+			d.NoteReload()
+		}
+	}
+}
+
 func newLogger(settings *daemon.Settings, to io.Writer) *log.Logger {
 	options := log.Options{ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00"}
 	// Settings.Check has accepted the level.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -218,6 +218,11 @@
 	return nil
 }
 
+// NoteReload tells the log of a wish to read the settings again.
+func (d *Daemon) NoteReload() {
+	d.part("daemon").Info("A reload was asked for. Settings are flags, nothing has changed.")
+}
+
 // farewell sends the last control messages and leaves them time to go out.
 func (d *Daemon) farewell() {
 	d.mu.Lock()
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -100,7 +100,7 @@
 	if action.Kind == follow.List {
 		page, err := d.store.List(ctx, platform.Everything, action.After)
 		if err != nil {
-			d.readFailed(f, ctx)
+			d.readFailed(ctx, f)
 			return false, err
 		}
 		return f.Listed(page, time.Now()), nil
@@ -112,14 +112,14 @@
 		d.part("store").Info("The store has dropped its history, all is read again.", "revision", f.Revision())
 		return false, nil
 	case err != nil:
-		d.readFailed(f, ctx)
+		d.readFailed(ctx, f)
 		return false, err
 	}
 	return f.Watched(changes, asOf, time.Now()), nil
 }
 
 // readFailed counts a failure, unless the call was ended here.
-func (d *Daemon) readFailed(f *follow.Follower, ctx context.Context) {
+func (d *Daemon) readFailed(ctx context.Context, f *follow.Follower) {
 	if ctx.Err() == nil {
 		f.Failed(time.Now())
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -138,87 +138,90 @@
 	}
 }
 
-// TestFollowerConverges drives a follower against a small store with pages,
-// cut watches and dropped history, and wants the copy to end as the store is.
+// smallStore is a store of five keys with pages of two items.
+type smallStore struct {
+	items    map[string]follow.Item
+	log      []follow.Item
+	revision uint64
+	// kept is the revision from which the history is held.
+	kept uint64
+}
+
+func (s *smallStore) change(key string, goes bool) {
+	s.revision++
+	next := item(key, s.revision)
+	if goes {
+		next = gone(key, s.revision)
+		delete(s.items, key)
+	} else {
+		s.items[key] = next
+	}
+	s.log = append(s.log, next)
+}
+
+func (s *smallStore) page(after string) follow.Page {
+	p := follow.Page{AsOf: s.revision}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if key > after {
+			p.Items = append(p.Items, s.items[key])
+		}
+	}
+	if len(p.Items) > 2 {
+		p.Items, p.More = p.Items[:2], true
+	}
+	return p
+}
+
+func (s *smallStore) watch(after uint64) []follow.Item {
+	return slices.DeleteFunc(slices.Clone(s.log), func(e follow.Item) bool { return e.Revision <= after })
+}
+
+// answer carries out what the follower wants next, unless the watch is cut.
+func (s *smallStore) answer(f *follow.Follower, cut bool, now time.Time) {
+	f.Expire(now)
+	switch a := f.Next(now); {
+	case a.Kind == follow.List:
+		f.Listed(s.page(a.After), now)
+	case a.Kind == follow.Watch && a.Revision < s.kept:
+		f.Dropped(now)
+	case a.Kind == follow.Watch && cut:
+		f.Failed(now)
+	case a.Kind == follow.Watch:
+		f.Watched(s.watch(a.Revision), s.revision, now)
+	}
+}
+
+// TestFollowerConverges drives a follower against a small store with pages, cut
+// watches and dropped history, and wants the copy to end as the store is.
 func TestFollowerConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := map[string]follow.Item{}
-		var log []follow.Item
-		revision, kept := uint64(1), uint64(0)
-		change := func() {
-			revision++
-			key := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "key")
-			next := item(key, revision)
-			if rapid.Bool().Draw(t, "gone") {
-				next = gone(key, revision)
-				delete(store, key)
-			} else {
-				store[key] = next
-			}
-			log = append(log, next)
-		}
-		page := func(after string) follow.Page {
-			p := follow.Page{AsOf: revision}
-			for _, key := range slices.Sorted(maps.Keys(store)) {
-				if key > after {
-					p.Items = append(p.Items, store[key])
-				}
-			}
-			if len(p.Items) > 2 {
-				p.Items, p.More = p.Items[:2], true
-			}
-			return p
-		}
-		watch := func(after uint64) []follow.Item {
-			var events []follow.Item
-			for _, e := range log {
-				if e.Revision > after {
-					events = append(events, e)
-				}
-			}
-			return events
-		}
+		s := &smallStore{items: map[string]follow.Item{}, revision: 1}
 		f := follow.New(follow.Config{})
 		now := start
-		do := func(calm bool) {
-			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
-			f.Expire(now)
-			switch a := f.Next(now); a.Kind {
-			case follow.Wait:
-				now = a.At
-			case follow.List:
-				f.Listed(page(a.After), now)
-			case follow.Watch:
-				switch {
-				case a.Revision < kept:
-					f.Dropped(now)
-				case !calm && rapid.Bool().Draw(t, "cut"):
-					f.Failed(now)
-				default:
-					f.Watched(watch(a.Revision), revision, now)
-				}
-			}
-		}
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			for rapid.Bool().Draw(t, "change") {
-				change()
+				s.change(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "key"), rapid.Bool().Draw(t, "gone"))
 			}
 			if rapid.IntRange(0, 9).Draw(t, "drop") == 0 {
-				kept = revision
+				s.kept = s.revision
 			}
-			do(false)
+			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			s.answer(f, rapid.Bool().Draw(t, "cut"), now)
 		}
 		for range 40 {
 			now = now.Add(time.Second)
-			do(true)
+			s.answer(f, false, now)
 		}
-		for key, want := range store {
-			if got := f.Items()[key]; got.Revision != want.Revision {
-				t.Fatalf("%s is at %d, want %d", key, got.Revision, want.Revision)
-			}
+		got := map[string]uint64{}
+		for key, held := range f.Items() {
+			got[key] = held.Revision
+		}
+		want := map[string]uint64{}
+		for key, held := range s.items {
+			want[key] = held.Revision
 		}
-		if len(f.Items()) != len(store) {
-			t.Fatalf("keys %v, want %v", keys(f), slices.Sorted(maps.Keys(store)))
+		if !maps.Equal(got, want) {
+			t.Fatalf("the copy is at %v, the store at %v", got, want)
 		}
 	})
 }
--- a/node/control.go
+++ b/node/control.go
@@ -22,16 +22,25 @@
 		return nil
 	}
 	switch e.Kind {
+	case kindLoad:
+		n.loadHeard(e.From, e.Body, now)
+	case kindSuspects:
+		n.suspectsHeard(e.Body, now)
 	case kindSpread:
 		var body spread.Message
 		if json.Unmarshal(e.Body, &body) != nil || body.From != e.From {
 			return nil
 		}
 		return n.spreadActions(n.spread.Receive(body, now), now)
-	case kindLoad:
-		n.loadHeard(e.From, e.Body, now)
-	case kindSuspects:
-		n.suspectsHeard(e.Body, now)
+	default:
+		return n.keyMessage(e, now)
+	}
+	return nil
+}
+
+// keyMessage takes in a message between the homes of keys.
+func (n *Node) keyMessage(e peer.Envelope, now time.Time) []Command {
+	switch e.Kind {
 	case kindHeartbeat:
 		var body once.Heartbeat
 		if json.Unmarshal(e.Body, &body) == nil {
--- a/node/direct.go
+++ b/node/direct.go
@@ -37,7 +37,11 @@
 // noteChanges tells the log what has changed since old.
 func (n *Node) noteChanges(old map[string]membership.Record, revision uint64) []Command {
 	var out []Command
+	changes := 0
 	note := func(text string, r membership.Record) {
+		if changes++; changes > maxNotes {
+			return
+		}
 		out = append(out, Note{Part: "membership", Text: text, Fields: []any{
 			"instance", r.ID, "upstream", r.Upstream, "service", r.Service, "state", r.State, "storeRevision", revision,
 		}})
@@ -55,9 +59,17 @@
 	for _, r := range old {
 		note("An upstream is gone from the list.", r)
 	}
+	if changes > maxNotes {
+		out = append(out, Note{Part: "membership", Text: "More upstreams have changed.", Fields: []any{
+			"more", changes - maxNotes, "listed", len(n.view.All()), "storeRevision", revision,
+		}})
+	}
 	return out
 }
 
+// maxNotes bounds the log lines on one reading of the list.
+const maxNotes = 16
+
 // upstreamState is the life and the state of the own upstream.
 type upstreamState struct {
 	life  string
