Log lines tell the load and the revision that decided

Cause: a line on a request that was turned away did not say how full or slow the upstream was; one on a request sent on not by which configuration. Change: both do.

--- a/daemon/lines.go
+++ b/daemon/lines.go
@@ -43,7 +43,7 @@
 		return
 	}
 	d.part("balance").Info("A request is sent on.",
-		"id", f.Request.Token, "call", f.Request.ID, "route", f.Request.Route, "service", f.Request.Service,
+		"id", f.Request.Token, "call", f.Request.ID, "route", f.Request.Route, "routesRevision", f.Routes, "service", f.Request.Service,
 		"instance", f.To.ID, "upstream", f.To.Upstream, "rank", f.Request.Priority, "costMs", ms(f.Choice.Cost),
 		"loadAgeMs", ms(f.Choice.LoadAge), "candidates", f.Choice.Candidates, "leftMs", ms(time.Until(f.Request.Deadline)))
 }
@@ -74,9 +74,13 @@
 	if !d.allow(logline.Trouble, time.Now()) {
 		return
 	}
+	d.mu.Lock()
+	load := d.node.Load(time.Now())
+	d.mu.Unlock()
 	d.part("admit").Info("A request is turned away.",
 		"id", request.Token, "call", request.ID, "outcome", r.Outcome, "reason", r.Reason,
-		"leftMs", ms(time.Until(request.Deadline)))
+		"leftMs", ms(time.Until(request.Deadline)), "toTargetMs", ms(time.Until(request.Target)), "state", load.State,
+		"running", load.InFlight, "queued", load.Queued, "slots", load.Slots, "pace", load.Pace, "paceAgeMs", ms(load.Age))
 }
 
 // ms is a duration as log lines show it.
--- a/node/command.go
+++ b/node/command.go
@@ -24,8 +24,10 @@
 	Incarnation uint64
 	// Request is what to send on, with an ID of its own.
 	Request call.Request
-	// Choice is what the choice of the instance rests on.
+	// Choice is what the choice of the instance rests on, and Routes the revision
+	// of the routes document; 0 without one.
 	Choice balance.Choice
+	Routes uint64
 }
 
 // CancelForward ends an attempt whose answer is no longer wanted.
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -138,6 +138,7 @@
 	f := Forward{
 		ID: c.request.ID, Number: c.made, To: record.Instance, Incarnation: n.incarnation(record), Request: onward,
 	}
+	f.Routes = n.routesRevision()
 	f.Choice = n.picker(c.service).Choice(target, len(n.candidates(c.service, c.selector).list), now)
 	out := []Command{f}
 	if delay, ok := n.policy(c.service, now).HedgeAfter(n.try(c), now); ok && c.made == 1 {
--- a/node/route.go
+++ b/node/route.go
@@ -43,6 +43,12 @@
 	return "", true
 }
 
+// routesRevision returns the revision of the routes in force, or 0.
+func (n *Node) routesRevision() uint64 {
+	d, _ := n.config.Document(config.KeyRoutes)
+	return d.Revision()
+}
+
 // bound brings the deadline forward to latest.
 func (c *callState) bound(latest time.Time) {
 	if c.request.Deadline.IsZero() || c.request.Deadline.After(latest) {
