--- a/config/docs_test.go
+++ b/config/docs_test.go
@@ -32,7 +32,7 @@
 
 func TestDocumentedExamples(t *testing.T) {
 	documents := examples(t, "configuration.md")
-	if len(documents) != 2 || documents[0].Switches() == nil || documents[1].Service() == nil {
+	if len(documents) != 3 || documents[0].Switches() == nil || documents[1].Service() == nil || documents[2].Routes() == nil {
 		t.Fatalf("%d documents", len(documents))
 	}
 	for _, a := range config.Actions() {
