exchange: a deadline while dialling is told from a break

Change: the same wait for the context after a dial; a test with a dial that ends just then, which failed before.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -33,7 +33,8 @@
 	}
 	c, err := p.get(ctx)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
+		settle(ctx)
+		return withCause(ctx, fmt.Errorf("%w: %w", ErrNotSent, err))
 	}
 	stop := watch(ctx, c)
 	err = p.converse(c, req, resp, stop)
--- a/exchange/foreign_test.go
+++ b/exchange/foreign_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -197,3 +198,26 @@
 		}
 	}
 }
+
+// TestDeadlineWhileDialling: a connection that does not open before the deadline
+// is no sign of an upstream that is down.
+func TestDeadlineWhileDialling(t *testing.T) {
+	p := exchange.New(exchange.Config{Address: "127.0.0.1:1", Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		deadline, _ := ctx.Deadline()
+		time.Sleep(time.Until(deadline))
+		// As package net does, which may be ahead of the context's own timer.
+		return nil, os.ErrDeadlineExceeded
+	}})
+	defer p.Close()
+	for range 50 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetRequestURI("/")
+		req.Header.SetHost("h")
+		err := p.Do(ctx, req, resp)
+		cancel()
+		if !errors.Is(err, exchange.ErrNotSent) || !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("got %v", err)
+		}
+	}
+}
