Stop within the platform's time; what nobody used is gone

Cause: the limit of a stop stood in the deploy file, fitted to a grace of 6 s; with a shorter one the process would be killed under its requests.

--- a/admit/pace.go
+++ b/admit/pace.go
@@ -99,9 +99,6 @@
 // Pace returns the pace in percent as last read, and when; 0 is never.
 func (g *Gate) Pace() (percent int, at time.Time) { return g.pace.percent, g.pace.at }
 
-// Slow reports whether the upstream is in a slow spell, as far as is known.
-func (g *Gate) Slow(now time.Time) bool { return g.pace.slow(now) }
-
 // Measured takes in a reading of the upstream's pace, in percent of the usual.
 func (g *Gate) Measured(percent int, now time.Time) []Action {
 	actions := g.advance(now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -257,6 +257,7 @@
 		_ = d.control.Stop()
 	}
 	d.watch.Close()
+	d.store.Close()
 	d.upstream.Close()
 	d.peers.close()
 }
--- a/daemon/lines.go
+++ b/daemon/lines.go
@@ -11,6 +11,8 @@
 // Lines bounds the log lines on single requests; see package logline.
 type Lines interface {
 	Allow(class logline.Class, now time.Time) bool
+	// Withheld returns how many lines were left out.
+	Withheld() int64
 }
 
 // allow reports whether a line on one request may be written. Without a bound
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -161,10 +161,18 @@
 	return err == nil && a.Port() != 0
 }
 
+// drain leaves half of the time to stop to what runs.
 func (s *Settings) drain() time.Duration {
-	return time.Duration(s.DrainSeconds * float64(time.Second))
+	return min(time.Duration(s.DrainSeconds*float64(time.Second)), s.maxStop()/2)
 }
 
+// stopMargin is left of the time that the platform gives a process to stop.
+const stopMargin = 800 * time.Millisecond
+
 func (s *Settings) maxStop() time.Duration {
-	return time.Duration(s.MaxStopSeconds * float64(time.Second))
+	limit := time.Duration(s.MaxStopSeconds * float64(time.Second))
+	if within := s.bounds.StopWithin; within > 0 {
+		limit = min(limit, max(within-stopMargin, 0))
+	}
+	return limit
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -82,7 +82,6 @@
 	// kept holds when keys that went during trouble are to go for good.
 	kept map[string]time.Time
 
-	complete bool // the copy has been whole
 	listed   bool // the copy can be kept up by watching
 	listing  map[string]Item
 	after    string
@@ -94,8 +93,6 @@
 	// troubleUntil is until when a key's absence may be due to trouble.
 	troubleUntil time.Time
 	inTrouble    bool
-	// fresh is when the store last answered.
-	fresh time.Time
 }
 
 // New returns a Follower that knows nothing.
@@ -143,7 +140,6 @@
 		return false
 	}
 	f.replace(f.listing, now)
-	f.complete = true
 	f.listed, f.listing, f.after, f.revision = true, nil, "", f.first
 	return true
 }
@@ -192,9 +188,6 @@
 	f.listed, f.listing, f.after = false, nil, ""
 }
 
-// Complete reports whether the copy has been read whole at least once.
-func (f *Follower) Complete() bool { return f.complete }
-
 // Items returns the copy. It must not be changed, and is good until the next
 // call of another method.
 func (f *Follower) Items() map[string]Item { return f.items }
@@ -202,9 +195,6 @@
 // Revision returns the store's revision that the copy is true of.
 func (f *Follower) Revision() uint64 { return f.revision }
 
-// Age returns how long ago the store last answered.
-func (f *Follower) Age(now time.Time) time.Duration { return now.Sub(f.fresh) }
-
 // Troubled reports whether the last reading failed.
 func (f *Follower) Troubled() bool { return f.inTrouble }
 
@@ -218,7 +208,7 @@
 		f.inTrouble = false
 		f.troubleUntil = now.Add(f.cfg.KeepFor)
 	}
-	f.failures, f.fresh = 0, now
+	f.failures = 0
 }
 
 // replace puts a whole list in place of the copy.
