--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -243,15 +243,12 @@
 func (d *Daemon) close() {
 	d.stop()
 	d.loops.Wait()
-	if d.admin != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = d.admin.Shutdown(ctx)
-	}
-	if d.ready != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = d.ready.Shutdown(ctx)
+	for _, server := range []*ingress.Server{d.admin, d.ready} {
+		if server != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = server.Shutdown(ctx)
+			cancel()
+		}
 	}
 	if d.control != nil {
 		_ = d.control.Stop()
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -82,7 +82,7 @@
 		if err := p.sendBody(c, req); err != nil {
 			return err
 		}
-		return p.receive(c, req, resp, stop, true)
+		return p.receive(c, req, resp, stop)
 	}
 	if !req.IsBodyStream() && len(req.Body()) > besideBytes {
 		return p.converseBeside(c, req, resp, stop)
@@ -90,7 +90,7 @@
 	if err := p.send(c, req); err != nil {
 		return err
 	}
-	return p.receive(c, req, resp, stop, true)
+	return p.receive(c, req, resp, stop)
 }
 
 // besideBytes is the longest held body that is written before the answer is
@@ -98,23 +98,20 @@
 const besideBytes = 8 << 10
 
 // converseBeside reads the answer while a long body is being written, since a
-// server may answer before it has read the body. The connection is then not
-// used again: what is left of the body would be taken for a request.
+// server may answer before it has read the body. A connection on which the body
+// was not written whole is not used again: the rest would be taken for a request.
 func (p *Pool) converseBeside(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool) error {
 	written := make(chan error, 1)
 	go func() { written <- p.send(c, req) }()
 	err := p.readMine(c, req, resp)
 	var failed error
-	whole := false
 	select {
 	case failed = <-written:
-		whole = failed == nil
 	default:
 		// The head of the answer is here, or the connection has failed.
 		_ = c.SetWriteDeadline(time.Unix(1, 0))
 		failed = <-written
 		_ = c.SetWriteDeadline(time.Time{})
-		whole = failed == nil
 	}
 	if err != nil {
 		if failed != nil {
@@ -122,7 +119,7 @@
 		}
 		return fmt.Errorf("%w while reading the head: %w", ErrLost, err)
 	}
-	return p.receiveBody(c, req, resp, stop, whole)
+	return p.receiveBody(c, req, resp, stop, failed == nil)
 }
 
 // sendHead sends all but the body, and reports whether the server asks for the
@@ -189,13 +186,12 @@
 	return fmt.Errorf("%w while writing: %w", sent, err)
 }
 
-// receive reads the answer: whole when it is short, else as a stream. keep lets
-// the connection be used again.
-func (p *Pool) receive(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool, keep bool) error {
+// receive reads the answer: whole when it is short, else as a stream.
+func (p *Pool) receive(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool) error {
 	if err := p.readMine(c, req, resp); err != nil {
 		return fmt.Errorf("%w while reading the head: %w", ErrLost, err)
 	}
-	return p.receiveBody(c, req, resp, stop, keep)
+	return p.receiveBody(c, req, resp, stop, true)
 }
 
 // maxForeign bounds the answers passed over before the right one.
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -11,6 +11,8 @@
 	ErrBodySource = errors.New("exchange: request body failed")
 	// ErrBusy means that every connection allowed to the address is in use.
 	ErrBusy = errors.New("exchange: no connection free")
+	// ErrTooLong means that an answer is longer than its reader wants.
+	ErrTooLong = errors.New("exchange: answer too long")
 	// ErrClosed means that the pool has been closed.
 	ErrClosed = errors.New("exchange: pool closed")
 )
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -82,3 +82,21 @@
 	fasthttp.ReleaseResponse(s.inner)
 	s.done(whole)
 }
+
+// Whole returns the body of an answer, read to its end where it is a stream. It
+// returns an error that wraps ErrTooLong when a stream has more than most bytes,
+// or else that of the reading.
+func Whole(resp *fasthttp.Response, most int) ([]byte, error) {
+	if !resp.IsBodyStream() {
+		return resp.Body(), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), int64(most)+1))
+	_ = resp.CloseBodyStream()
+	if err != nil {
+		return nil, fmt.Errorf("read the whole answer: %w", err)
+	}
+	if len(body) > most {
+		return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLong, most)
+	}
+	return body, nil
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -16,7 +16,7 @@
 func (n *Node) instancesListed(m InstancesListed, now time.Time) []Command {
 	n.view.Fresh()
 	before := n.upstreamState()
-	old := n.liveUpstreams()
+	old := n.recordsByLife()
 	if !n.view.Replace(m.List, now) {
 		return nil
 	}
@@ -25,8 +25,9 @@
 	return append(out, n.followOwn(before, now)...)
 }
 
-// liveUpstreams returns the state of each upstream, by its life.
-func (n *Node) liveUpstreams() map[string]membership.Record {
+// recordsByLife returns what is known of each instance, by the life of its
+// upstream.
+func (n *Node) recordsByLife() map[string]membership.Record {
 	all := map[string]membership.Record{}
 	for _, r := range n.view.All() {
 		all[r.ID+" "+r.Upstream] = r
@@ -46,7 +47,7 @@
 			"instance", r.ID, "upstream", r.Upstream, "service", r.Service, "state", r.State, "storeRevision", revision,
 		}})
 	}
-	for key, r := range n.liveUpstreams() {
+	for key, r := range n.recordsByLife() {
 		was, known := old[key]
 		delete(old, key)
 		switch {
@@ -118,15 +119,16 @@
 	if m.Err != nil {
 		return n.rejectDocument(m.Key, m.Err, now)
 	}
-	d, err := config.ParseKey("store:"+m.Key, m.Key, m.Body)
-	if err != nil {
-		return n.rejectDocument(m.Key, err, now)
-	}
-	return n.applyDocument(d, now)
+	return n.takeDocument("store:"+m.Key, m.Key, m.Body, now)
 }
 
-// applyDocument puts a document in force if it is newer than the one held.
-func (n *Node) applyDocument(d config.Document, now time.Time) []Command {
+// takeDocument puts a document in force if it can be read and is newer than the
+// one held.
+func (n *Node) takeDocument(file, key string, body []byte, now time.Time) []Command {
+	d, err := config.ParseKey(file, key, body)
+	if err != nil {
+		return n.rejectDocument(key, err, now)
+	}
 	changed, conflict := n.config.Apply(d)
 	out := []Command{}
 	fields := []any{"key", d.Key(), "revision", d.Revision(), "digest", d.Digest()}
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
@@ -63,14 +64,14 @@
 	}})
 }
 
-func find[T node.Command](commands []node.Command) (T, bool) {
+// find returns the first command of the same type as like, or nil.
+func find(commands []node.Command, like node.Command) node.Command {
 	for _, c := range commands {
-		if found, ok := c.(T); ok {
-			return found, true
+		if reflect.TypeOf(c) == reflect.TypeOf(like) {
+			return c
 		}
 	}
-	var none T
-	return none, false
+	return nil
 }
 
 const onlyFaults = `[{"service":"faults"}]`
@@ -102,7 +103,7 @@
 		t.Run(name, func(t *testing.T) {
 			l := directNode(t, config.Retry)
 			test.know(l)
-			a, ok := find[node.Answer](l.request("1", test.path))
+			a, ok := find(l.request("1", test.path), node.Answer{}).(node.Answer)
 			if !ok || a.Outcome != call.NotRun || a.Reason != test.reason || call.Status(a.Outcome, a.Reason) != test.status || a.ComeBack <= 0 {
 				t.Fatalf("got %+v", a)
 			}
@@ -124,7 +125,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f, ok := find[node.Forward](l.request(name, test.path))
+			f, ok := find(l.request(name, test.path), node.Forward{}).(node.Forward)
 			r := f.Request
 			if !ok || r.Service != "faults" || r.Repeat != test.repeat || r.Priority.Rank() != test.rank ||
 				!r.Target.Equal(l.now.Add(400*time.Millisecond)) || !r.Deadline.Equal(l.now.Add(900*time.Millisecond)) ||
@@ -144,7 +145,7 @@
 		orders := 0
 		for i := range n {
 			out := l.request(fmt.Sprintf("%d-%d", n, i), "/look/1")
-			if f, ok := find[node.Forward](out); !ok || f.Request.Service == "orders" {
+			if f, ok := find(out, node.Forward{}).(node.Forward); !ok || f.Request.Service == "orders" {
 				orders++
 			}
 		}
@@ -192,7 +193,7 @@
 			sends, told := 0, call.Outcome("")
 			out := l.request("1", test.path)
 			for {
-				f, ok := find[node.Forward](out)
+				f, ok := find(out, node.Forward{}).(node.Forward)
 				if !ok {
 					break
 				}
@@ -203,7 +204,7 @@
 				l.after(5 * time.Millisecond)
 				out = l.do(node.AttemptEnded{ID: "1", Number: f.Number, Result: test.results[sends-1]})
 			}
-			if a, ok := find[node.Answer](out); ok {
+			if a, ok := find(out, node.Answer{}).(node.Answer); ok {
 				told = a.Outcome
 			}
 			if sends != test.sends || told != test.answer {
@@ -223,7 +224,7 @@
 			Target: l.now.Add(400 * time.Millisecond), Deadline: l.now.Add(900 * time.Millisecond),
 		}})
 	}
-	if r, ok := find[node.Refuse](peer("early")); !ok || r.Outcome != call.NotRun || r.Reason != call.Leaving {
+	if r, ok := find(peer("early"), node.Refuse{}).(node.Refuse); !ok || r.Outcome != call.NotRun || r.Reason != call.Leaving {
 		t.Fatalf("before the upstream is listed: %+v", r)
 	}
 	l.list("self:2", "b:2")
@@ -234,29 +235,29 @@
 	l.do(node.RunEnded{ID: "0", Outcome: call.Run, Status: 200, Latency: 10 * time.Millisecond})
 	l.after(100 * time.Millisecond)
 	out := peer("1")
-	if _, ok := find[node.Probe](out); !ok {
+	if _, ok := find(out, node.Probe{}).(node.Probe); !ok {
 		t.Fatalf("no probe before the start: %+v", out)
 	}
 	l.after(time.Millisecond)
 	out = l.do(node.ProbeEnded{Reading: measure.Reading{State: measure.Serving, PacePercent: 100}})
-	if run, ok := find[node.Run](out); !ok || run.ID != "1" || run.Pace != 100 {
+	if run, ok := find(out, node.Run{}).(node.Run); !ok || run.ID != "1" || run.Pace != 100 {
 		t.Fatalf("not started: %+v", out)
 	}
 	out = l.do(node.RunEnded{ID: "1", Outcome: call.Run, Status: 200, Latency: 100 * time.Millisecond,
 		Reading: measure.Reading{PacePercent: 500}, HasReading: true})
-	if _, ok := find[node.WakeGate](out); !ok {
+	if _, ok := find(out, node.WakeGate{}).(node.WakeGate); !ok {
 		t.Fatalf("a slow upstream is not looked at again: %+v", out)
 	}
-	if r, ok := find[node.Refuse](peer("2")); !ok || r.Reason != call.Slow {
+	if r, ok := find(peer("2"), node.Refuse{}).(node.Refuse); !ok || r.Reason != call.Slow {
 		t.Fatalf("while slow: %+v", r)
 	}
 	l.list("b:2")
-	if r, ok := find[node.Refuse](peer("3")); !ok || r.Reason != call.Leaving {
+	if r, ok := find(peer("3"), node.Refuse{}).(node.Refuse); !ok || r.Reason != call.Leaving {
 		t.Fatalf("after the upstream has gone: %+v", r)
 	}
 	l.list("self:2", "b:2")
 	l.after(50 * time.Millisecond)
-	if _, ok := find[node.Probe](peer("4")); !ok {
+	if _, ok := find(peer("4"), node.Probe{}).(node.Probe); !ok {
 		t.Fatal("an upstream that is back gets no work")
 	}
 }
@@ -267,18 +268,18 @@
 	l.list("self:2", "b:2")
 	l.do(node.Tick{})
 	l.after(5 * time.Second)
-	if _, ok := find[node.RereadStore](l.do(node.Tick{})); !ok {
+	if _, ok := find(l.do(node.Tick{}), node.RereadStore{}).(node.RereadStore); !ok {
 		t.Fatal("the store is not asked after a pause")
 	}
 	request := node.PeerRequest{From: "b:2", Target: "self:2", Request: call.Request{
 		ID: "1", Service: "faults", Deadline: l.now.Add(time.Second),
 	}}
-	if r, ok := find[node.Refuse](l.do(request)); !ok || r.Reason != call.Stale || r.Outcome != call.NotRun {
+	if r, ok := find(l.do(request), node.Refuse{}).(node.Refuse); !ok || r.Reason != call.Stale || r.Outcome != call.NotRun {
 		t.Fatalf("a run is started on old knowledge: %+v", r)
 	}
 	l.do(node.StoreAnswered{})
 	request.Request.ID = "2"
-	if r, ok := find[node.Refuse](l.do(request)); ok {
+	if r, ok := find(l.do(request), node.Refuse{}).(node.Refuse); ok {
 		t.Fatalf("refused after the store has answered: %+v", r)
 	}
 }
@@ -288,7 +289,7 @@
 	l.routes(7, onlyFaults)
 	l.list("b:2")
 	l.routes(6, `[{"service":"orders"}]`)
-	if f, ok := find[node.Forward](l.request("1", "/look/1")); !ok || f.Request.Service != "faults" {
+	if f, ok := find(l.request("1", "/look/1"), node.Forward{}).(node.Forward); !ok || f.Request.Service != "faults" {
 		t.Fatalf("an older document is in force: %+v", f)
 	}
 }
@@ -309,7 +310,7 @@
 	l.do(first)
 	l.do(node.RunEnded{ID: "0", Outcome: call.Run, Status: 500, Latency: time.Millisecond,
 		Reading: measure.Reading{PacePercent: 500}, HasReading: true})
-	if r, ok := find[node.Refuse](l.do(request)); !ok || r.Reason != call.Slow {
+	if r, ok := find(l.do(request), node.Refuse{}).(node.Refuse); !ok || r.Reason != call.Slow {
 		t.Fatalf("a fresh daemon starts work on a slow upstream: %+v", r)
 	}
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -110,11 +110,7 @@
 		_, err := config.ParseKey("platform:"+key, key, item.Body)
 		return n.rejectDocument(key, err, now)
 	}
-	d, err := config.ParseKey("platform:"+item.Key, item.Key, item.Body)
-	if err != nil {
-		return n.rejectDocument(item.Key, err, now)
-	}
-	return n.applyDocument(d, now)
+	return n.takeDocument("platform:"+item.Key, item.Key, item.Body, now)
 }
 
 func (n *Node) refuseItem(item spread.Item, err error, now time.Time) []Command {
--- a/registry/hold.go
+++ b/registry/hold.go
@@ -1,10 +1,12 @@
 package registry
 
 import (
+	"errors"
 	"fmt"
-	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"pomelodoor.example/pomelodoor/exchange"
 )
 
 // hold reads a streamed answer whole, up to the longest value there can be.
@@ -12,14 +14,13 @@
 	if !resp.IsBodyStream() {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxValueBytes+1))
-	_ = resp.CloseBodyStream()
-	if err != nil {
+	body, err := exchange.Whole(resp, maxValueBytes)
+	switch {
+	case errors.Is(err, exchange.ErrTooLong):
+		return fmt.Errorf("%w: %w", ErrAnswer, err)
+	case err != nil:
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	if len(body) > maxValueBytes {
-		return fmt.Errorf("%w: longer than %d bytes", ErrAnswer, maxValueBytes)
-	}
 	resp.SetBodyRaw(body)
 	return nil
 }
