Slow is told against the best of late; all slots until crowding is seen

Cause: after a restart of the fleet every upstream tells a pace of 200 for its first 3 s. Ruled out: believing the list's time alone (it does not say how much slower). Change: a pace counts as slow from 1.5 times the best of the last 0.4 to 0.8 s; an upstream known as just started is expected at 300 at best until read. The gate learns whether calls that start on a nearly full upstream take longer and leaves slots free only then.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -36,6 +36,10 @@
 	// Slots is the number of calls that the upstream runs at once. None are
 	// started while it is zero.
 	Slots int
+	// Easy is the number of calls up to which the upstream surely does not slow
+	// down for being nearly full. Where calls beyond it turn out to take longer,
+	// no more are started; 0 is all slots.
+	Easy int
 	// Queue is the number of calls that may wait.
 	Queue int
 	// Shed allows ordering by priority and deadline, eviction, and refusal by
@@ -44,6 +48,8 @@
 	// Paced starts calls only on a fresh reading of the upstream's pace, and
 	// turns them away or holds them while it is slow.
 	Paced bool
+	// Cold says that the upstream has just started and is slower for that.
+	Cold bool
 }
 
 // Config holds the settings of a Gate. New puts defaults in place of zero
@@ -90,6 +96,10 @@
 	cancelled bool
 	// ends is when it is expected to end; zero when its work is not known.
 	ends time.Time
+	// work is what it is expected to take at the usual pace, and crowded is set
+	// when it started beside more than the easy number of calls.
+	work    time.Duration
+	crowded bool
 }
 
 // Gate holds the calls at one upstream. It is not safe for concurrent use.
@@ -100,6 +110,7 @@
 	queue      queue
 	service    average
 	pace       pace
+	crowd      crowd
 	draining   bool
 	seen       time.Time
 	woke       time.Time
@@ -132,11 +143,11 @@
 	if reason, refused := g.refusal(req, now); refused {
 		return append(actions, refuse(req.ID, reason))
 	}
-	if g.limits.Paced && len(g.running) < g.limits.Slots {
+	if g.limits.Paced && len(g.running) < g.room(now) {
 		g.queue.push(req)
 		return append(actions, g.fill(now)...)
 	}
-	if len(g.running) < g.limits.Slots {
+	if len(g.running) < g.room(now) {
 		return append(actions, g.start(req, now))
 	}
 	return append(actions, g.enqueue(req, now)...)
@@ -147,11 +158,13 @@
 // a failed call, leaves the average alone.
 func (g *Gate) Finish(callID string, serviceTime time.Duration, now time.Time) []Action {
 	actions := g.advance(now)
-	if _, ok := g.running[callID]; !ok {
+	r, ok := g.running[callID]
+	if !ok {
 		return actions
 	}
 	delete(g.running, callID)
 	g.service.add(serviceTime)
+	g.crowd.add(r, serviceTime, now)
 	return append(actions, g.fill(now)...)
 }
 
@@ -197,7 +210,9 @@
 // beyond the new bound are refused, the least urgent first.
 func (g *Gate) Resize(limits Limits, now time.Time) []Action {
 	actions := g.advance(now)
-	g.limits = Limits{Slots: max(limits.Slots, 0), Queue: max(limits.Queue, 0), Shed: limits.Shed, Paced: limits.Paced}
+	g.limits = limits
+	g.limits.Slots, g.limits.Queue = max(limits.Slots, 0), max(limits.Queue, 0)
+	g.pace.cold = limits.Cold
 	g.queue.reorder(limits.Shed)
 	actions = append(actions, g.fill(now)...)
 	for g.queue.len() > g.limits.Queue {
--- a/admit/decide.go
+++ b/admit/decide.go
@@ -91,10 +91,11 @@
 	if req.Target.IsZero() {
 		return false
 	}
-	if now.Add(req.Work).After(req.Target) {
+	work := g.pace.work(req)
+	if now.Add(work).After(req.Target) {
 		return g.queue.len() > 0
 	}
-	return now.Add(wait + req.Work).After(req.Target)
+	return now.Add(wait + work).After(req.Target)
 }
 
 // waitFor predicts how long a call waits behind the first queued ones. Where
@@ -106,7 +107,7 @@
 	free := g.freeTimes(now)
 	for _, w := range g.queue.calls[:ahead] {
 		first := slices.Index(free, slices.MinFunc(free, time.Time.Compare))
-		free[first] = free[first].Add(cmp.Or(w.req.Work, g.service.mean))
+		free[first] = free[first].Add(cmp.Or(g.pace.work(w.req), g.service.mean))
 	}
 	return slices.MinFunc(free, time.Time.Compare).Sub(now)
 }
@@ -114,7 +115,8 @@
 // freeTimes returns when each slot is expected to be free and to take a call.
 func (g *Gate) freeTimes(now time.Time) []time.Time {
 	open := now.Add(g.pace.left(now))
-	free := make([]time.Time, 0, max(g.limits.Slots, len(g.running)))
+	room := g.room(now)
+	free := make([]time.Time, 0, max(room, len(g.running)))
 	for _, r := range g.running {
 		ends := r.ends
 		if ends.Before(now) {
@@ -125,7 +127,7 @@
 		}
 		free = append(free, ends)
 	}
-	for len(free) < g.limits.Slots {
+	for len(free) < room {
 		free = append(free, open)
 	}
 	return free
@@ -139,9 +141,10 @@
 func (g *Gate) start(req call.Request, now time.Time) Action {
 	r := &running{}
 	if g.limits.Paced && req.Work > 0 {
-		r.ends = now.Add(req.Work + max(g.pace.extra(req), 0))
+		r.ends = now.Add(g.pace.work(req) + max(g.pace.extra(req), 0))
 	}
 	g.running[req.ID] = r
+	r.work, r.crowded = req.Work, len(g.running) > g.limits.Easy
 	return Action{Kind: Start, CallID: req.ID}
 }
 
@@ -152,7 +155,7 @@
 		return g.fillPaced(now)
 	}
 	var actions []Action
-	for !g.draining && len(g.running) < g.limits.Slots && g.queue.len() > 0 {
+	for !g.draining && len(g.running) < g.room(now) && g.queue.len() > 0 {
 		actions = append(actions, g.start(g.queue.popFirst().req, now))
 	}
 	return actions
--- a/admit/load.go
+++ b/admit/load.go
@@ -42,7 +42,7 @@
 	load := Load{
 		InFlight:    g.InFlight(),
 		Queued:      g.Queued(),
-		Slots:       g.limits.Slots,
+		Slots:       g.room(now),
 		ServiceTime: g.service.mean,
 		Draining:    g.draining,
 		Woke:        !g.woke.IsZero() && now.Sub(g.woke) < g.pauseLimit,
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -9,8 +9,16 @@
 const (
 	// usualPace is the pace of an upstream that nothing slows down, in percent.
 	usualPace = 100
-	// slowPace is the pace from which an upstream counts as slow.
-	slowPace = 150
+	// coldPace is the best pace to expect of an upstream that has just started,
+	// until one was read.
+	coldPace = 300
+	// slowPercent is the pace, in percent of the best of late, from which an
+	// upstream counts as slow.
+	slowPercent = 150
+	// bestSpan is how long the best pace is remembered, once or twice over. It
+	// outlasts a usual slow spell, so that one is told from an upstream that is
+	// slower for longer, as after its start.
+	bestSpan = 400 * time.Millisecond
 	// freshFor is how long a reading of the pace is acted on without another.
 	// The pace changes several times a second.
 	freshFor = 5 * time.Millisecond
@@ -41,6 +49,20 @@
 	// slowSince is when the present slow spell was first seen, or zero.
 	slowSince time.Time
 	spell     time.Duration
+	// best and bestBefore are the lowest percent of the present span and of the
+	// one before, which ended when the present one began; 0 is none.
+	best, bestBefore int
+	spanFrom         time.Time
+	// cold is true while the upstream is known to have just started.
+	cold bool
+}
+
+// first is the best pace to expect before any was read.
+func (p *pace) first() int {
+	if p.cold {
+		return coldPace
+	}
+	return usualPace
 }
 
 // read takes in a reading.
@@ -49,15 +71,48 @@
 		return
 	}
 	p.percent, p.at, p.asked = percent, now, time.Time{}
-	switch {
-	case percent >= slowPace && p.slowSince.IsZero():
+	p.keepBest(now)
+	switch slow := p.isSlow(); {
+	case slow && p.slowSince.IsZero():
 		p.slowSince = now
-	case percent < slowPace && !p.slowSince.IsZero():
+	case !slow && !p.slowSince.IsZero():
 		p.learn(now.Sub(p.slowSince))
 		p.slowSince = time.Time{}
 	}
 }
 
+// keepBest counts the present reading towards the best of its span.
+func (p *pace) keepBest(now time.Time) {
+	switch age := now.Sub(p.spanFrom); {
+	case p.spanFrom.IsZero():
+		p.best, p.bestBefore, p.spanFrom = p.percent, p.first(), now
+	case age >= 2*bestSpan:
+		p.best, p.bestBefore, p.spanFrom = p.percent, 0, now
+	case age >= bestSpan:
+		p.best, p.bestBefore, p.spanFrom = p.percent, p.best, now
+	}
+	p.best = min(p.best, p.percent)
+}
+
+// usual is the pace that the upstream has when nothing slows it down for a
+// moment: the best of late.
+func (p *pace) usual() int {
+	switch {
+	case p.best == 0:
+		return usualPace
+	case p.bestBefore == 0:
+		return max(p.best, usualPace)
+	}
+	return max(min(p.best, p.bestBefore), usualPace)
+}
+
+// work is what a request takes when nothing slows the upstream down for a moment.
+func (p *pace) work(req call.Request) time.Duration {
+	return req.Work * time.Duration(p.usual()) / usualPace
+}
+
+func (p *pace) isSlow() bool { return p.percent*usualPace >= slowPercent*p.usual() }
+
 func (p *pace) learn(spell time.Duration) {
 	if p.spell == 0 {
 		p.spell = firstSpell
@@ -67,12 +122,12 @@
 
 // extra is how much longer than usual a request takes that starts now.
 func (p *pace) extra(req call.Request) time.Duration {
-	return req.Work * time.Duration(p.percent-usualPace) / usualPace
+	return req.Work * time.Duration(p.percent-p.usual()) / usualPace
 }
 
 // slow reports whether the last reading, if it is not stale, was slow.
 func (p *pace) slow(now time.Time) bool {
-	return p.percent >= slowPace && now.Sub(p.at) <= staleAfter
+	return p.isSlow() && now.Sub(p.at) <= staleAfter
 }
 
 // lasting reports whether the slow spell has outlived what is usual.
@@ -147,7 +202,7 @@
 
 // fillPaced starts queued calls while slots are free and the pace allows it.
 func (g *Gate) fillPaced(now time.Time) []Action {
-	if g.draining || g.queue.len() == 0 || len(g.running) >= g.limits.Slots {
+	if g.draining || g.queue.len() == 0 || len(g.running) >= g.room(now) {
 		return nil
 	}
 	switch {
@@ -158,7 +213,7 @@
 		return []Action{g.ask(now)}
 	}
 	var actions []Action
-	for i := 0; i < g.queue.len() && len(g.running) < g.limits.Slots; {
+	for i := 0; i < g.queue.len() && len(g.running) < g.room(now); {
 		w := g.queue.calls[i]
 		switch g.turn(w, now) {
 		case stay:
@@ -197,7 +252,7 @@
 		return leave
 	}
 	spell := g.pace.usualSpell()
-	if g.pace.lasting(now) || extra < spell || now.Add(spell+w.req.Work).After(w.req.Deadline) {
+	if g.pace.lasting(now) || extra < spell || now.Add(spell+g.pace.work(w.req)).After(w.req.Deadline) {
 		return begin
 	}
 	return stay
@@ -206,11 +261,11 @@
 // passedOver reports whether a call has waited too long to meet its target while
 // others behind it still can.
 func (g *Gate) passedOver(w waiting, now time.Time) bool {
-	if w.req.Target.IsZero() || !now.Add(w.req.Work).After(w.req.Target) {
+	if w.req.Target.IsZero() || !now.Add(g.pace.work(w.req)).After(w.req.Target) {
 		return false
 	}
 	for _, other := range g.queue.calls {
-		if other.req.Target.After(now.Add(other.req.Work)) {
+		if other.req.Target.After(now.Add(g.pace.work(other.req))) {
 			return true
 		}
 	}
--- a/admit/pace_test.go
+++ b/admit/pace_test.go
@@ -63,6 +63,12 @@
 		"what may not be measured starts": {2, []event{arrive(0, paced("a", 400)), {ms: 1, none: true}}, []string{"measure", "start a"}},
 		"a measurement that hangs is asked again": {2, []event{arrive(0, paced("a", 400)), {ms: 50, wake: true}, {ms: 51, pace: 100}},
 			[]string{"measure", "start a"}},
+		"slow for long is usual, as after a start": {2, []event{{ms: 0, pace: 200}, {ms: 300, pace: 200}, {ms: 500, pace: 200}, {ms: 900, pace: 200}, arrive(901, paced("a", 1400))},
+			[]string{"start a"}},
+		"slower than slow for long is slow": {2, []event{{ms: 0, pace: 200}, {ms: 300, pace: 200}, {ms: 500, pace: 200}, {ms: 900, pace: 1000}, arrive(901, paced("a", 1400))},
+			[]string{"refuse a slow"}},
+		"the best of late comes back": {2, []event{{ms: 0, pace: 200}, {ms: 900, pace: 200}, {ms: 1400, pace: 100}, {ms: 1500, pace: 200}, arrive(1501, paced("a", 2000))},
+			[]string{"refuse a slow"}},
 		"no more than the slots": {1, []event{{ms: 0, pace: 100}, arrive(1, paced("a", 400)), arrive(2, paced("b", 400)), {ms: 60, pace: 100}, {ms: 61, finish: "a"}},
 			[]string{"start a", "start b"}},
 		"the earlier target first": {1, []event{{ms: 0, pace: 100}, arrive(1, paced("a", 400)), arrive(2, paced("b", 900)), arrive(3, paced("c", 600)), {ms: 99, pace: 100}, {ms: 100, finish: "a"}},
@@ -106,6 +112,31 @@
 	}
 }
 
+// TestColdUpstreamStartsAtOnce: an upstream that has just started is slower than
+// usual, and has no better pace to wait for.
+func TestColdUpstreamStartsAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		cold bool
+		pace int
+		want admit.Kind
+	}{
+		"cold":              {true, 200, admit.Start},
+		"cold and slow too": {true, 1000, admit.Refuse},
+		"warm and slow":     {false, 200, admit.Refuse},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := admit.New(admit.Config{})
+			g.Resize(admit.Limits{Slots: 2, Queue: 10, Shed: true, Paced: true, Cold: test.cold}, began)
+			g.Measured(test.pace, ms(0))
+			got := g.Arrive(paced("a", 500), ms(1))
+			if len(got) != 1 || got[0].Kind != test.want {
+				t.Fatalf("got %v, want %s", got, test.want)
+			}
+		})
+	}
+}
+
 // TestTargetsAreMetOrRefusedEarly: twice the load of the slots, all of one kind.
 // What is started ends by its target; what is refused was not held long.
 func TestTargetsAreMetOrRefusedEarly(t *testing.T) {
--- a/node/admission.go
+++ b/node/admission.go
@@ -196,7 +196,7 @@
 	if !ok {
 		return nil
 	}
-	want := n.gateLimits(service)
+	want := n.gateLimits(service, now)
 	if want == n.gate.Limits() {
 		return nil
 	}
--- a/node/pace.go
+++ b/node/pace.go
@@ -187,20 +187,21 @@
 const maxRoutesLearned = 1024
 
 // gateLimits returns the limits of the own gate.
-func (n *Node) gateLimits(service *config.Service) admit.Limits {
+func (n *Node) gateLimits(service *config.Service, now time.Time) admit.Limits {
 	l := service.Limits()
 	want := admit.Limits{Slots: l.Slots(), Queue: l.Queue(), Shed: n.config.Allowed(config.Shed)}
 	if slots := n.view.Self().Slots; slots > 0 {
-		want.Slots, want.Queue = max(slots*busyPercent/100, 1), queuePerSlot*slots
+		want.Slots, want.Easy, want.Queue = slots, max(slots*easyPercent/100, 1), queuePerSlot*slots
 	}
 	want.Paced = n.paced()
+	want.Cold = now.Before(n.view.Self().ColdUntil)
 	return want
 }
 
 const (
 	// queuePerSlot bounds the queue of an upstream whose slots the list tells.
 	queuePerSlot = 2
-	// busyPercent is the part of the slots that is filled: upstreams slow down
-	// when they are nearly full.
-	busyPercent = 80
+	// easyPercent is the part of the slots up to which no upstream slows down for
+	// being nearly full.
+	easyPercent = 80
 )
