Crowding is told from chance; it stands in the log

Change: what is asked of the factor falls with the number of calls compared; the log tells when slots begin and end to be left free, and why.

--- a/admit/crowd.go
+++ b/admit/crowd.go
@@ -7,11 +7,13 @@
 	// the upstream counts as slower when nearly full.
 	crowdSamples = 16
 	// crowdWeight is the inverse of the share of one call in its average.
-	crowdWeight = 16
+	crowdWeight = 64
 	// crowdFactor is how much longer calls must take on a nearly full upstream
-	// for it to be worth more to leave slots free: a fifth of the slots is, and
-	// one call is hard to tell from another.
+	// for slots to be left free. A fifth of the slots is lost by that, and at
+	// busy times the calls that a run makes take longer too. crowdDoubt is what
+	// few calls must show beyond it, for each of them.
 	crowdFactor = 1.3
+	crowdDoubt  = 6.0
 	// crowdLife is how long that is believed before it is tried again.
 	crowdLife = 20 * time.Second
 )
@@ -21,8 +23,10 @@
 // and beside many.
 type crowd struct {
 	easy, crowded factor
-	// until is when nearly full is tried again, or zero.
+	// until is when nearly full is tried again, or zero; found is how much
+	// longer calls took then.
 	until time.Time
+	found float64
 }
 
 // factor is an average over calls.
@@ -47,9 +51,9 @@
 		return
 	}
 	c.crowded.add(sample)
-	enough := c.easy.calls >= crowdSamples && c.crowded.calls >= crowdSamples
-	if enough && c.crowded.mean > crowdFactor*c.easy.mean {
-		c.until = now.Add(crowdLife)
+	few := min(c.easy.calls, c.crowded.calls)
+	if few >= crowdSamples && c.crowded.mean > (crowdFactor+crowdDoubt/float64(few))*c.easy.mean {
+		c.until, c.found = now.Add(crowdLife), c.crowded.mean/c.easy.mean
 		c.crowded = factor{}
 	}
 }
@@ -61,3 +65,12 @@
 	}
 	return g.limits.Slots
 }
+
+// Crowding returns how much longer calls have turned out to take on the nearly
+// full upstream, as a factor, while slots are left free for that; else 0.
+func (g *Gate) Crowding(now time.Time) float64 {
+	if g.limits.Easy == 0 || !now.Before(g.crowd.until) {
+		return 0
+	}
+	return g.crowd.found
+}
--- a/node/node.go
+++ b/node/node.go
@@ -106,6 +106,8 @@
 	paceTold   int
 	callsTold  int
 	paceToldAt time.Time
+	// crowding is what was last noted of Gate.Crowding.
+	crowding float64
 	// gateDue is true while a WakeGate is under way.
 	gateDue bool
 
@@ -263,6 +265,7 @@
 		out = append(out, n.keepBook(now)...)
 	}
 	out = append(out, n.limits(now)...)
+	out = append(out, n.noteCrowding(now)...)
 	if !n.direct() {
 		out = append(out, n.tellSiblings(now)...)
 	}
--- a/node/pace.go
+++ b/node/pace.go
@@ -186,6 +186,22 @@
 // maxRoutesLearned bounds the routes whose work is remembered.
 const maxRoutesLearned = 1024
 
+// noteCrowding tells the log when slots begin or end to be left free because the
+// upstream is slower when it is nearly full.
+func (n *Node) noteCrowding(now time.Time) []Command {
+	found := n.gate.Crowding(now)
+	if found == n.crowding {
+		return nil
+	}
+	n.crowding = found
+	text := "The upstream is slower when nearly full. Slots are left free."
+	if found == 0 {
+		text = "All slots of the upstream are tried again."
+	}
+	l := n.gate.Load(now)
+	return []Command{Note{Part: "admit", Text: text, Fields: []any{"factor", found, "slots", l.Slots, "running", l.InFlight}}}
+}
+
 // gateLimits returns the limits of the own gate.
 func (n *Node) gateLimits(service *config.Service, now time.Time) admit.Limits {
 	l := service.Limits()
