Fewer messages and calls; a request is for the upstream that stands there now

Change: in a zone of more than five the load is told to those that sent a request in the last half second, and those remembered longer are forgotten; changes of the store are gathered for 65 % of the shorter of the platform's two times; the daemon beside an upstream names its present life to it, whichever its sender knew, and asks the store at once when the upstream tells a life that is not listed. A call to the store that was ended for a question loses nothing it had brought. Ports may be opened at another IP than the one by which others come (--bind). Tests: TestPresentLifeIsMeant, TestLoadIsToldToThoseThatSend, TestFollower.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -145,7 +145,7 @@
 		registry:  registry.New(registry.Config{Addresses: settings.Platform}),
 		store:     platform.New(platform.Config{Address: settings.Store}),
 		dialect:   dialect,
-		following: &following{},
+		following: newFollowing(),
 		probing:   &probing{},
 		ctx:       ctx, stop: stop,
 	}
@@ -156,21 +156,21 @@
 
 func (d *Daemon) listen() (err error) {
 	s := d.settings
-	if d.control, err = peer.Start(peer.Config{Listen: s.Control, Handle: d.receive, Lost: d.lostFraming}); err != nil {
+	if d.control, err = peer.Start(peer.Config{Listen: s.opened(s.Control), Handle: d.receive, Lost: d.lostFraming}); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.Peer, Handle: d.servePeer, Expect: d.expectPeer}); err != nil {
+	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.opened(s.Peer), Handle: d.servePeer, Expect: d.expectPeer}); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
-	if d.admin, err = ingress.Start(ingress.Config{Listen: s.Admin, Handle: d.serveAdmin}); err != nil {
+	if d.admin, err = ingress.Start(ingress.Config{Listen: s.opened(s.Admin), Handle: d.serveAdmin}); err != nil {
 		return fmt.Errorf("admin: %w", err)
 	}
 	if s.Ready != "" {
-		if d.ready, err = ingress.Start(ingress.Config{Listen: s.Ready, Handle: d.serveReady}); err != nil {
+		if d.ready, err = ingress.Start(ingress.Config{Listen: s.opened(s.Ready), Handle: d.serveReady}); err != nil {
 			return fmt.Errorf("ready: %w", err)
 		}
 	}
-	if d.callers, err = ingress.Start(ingress.Config{Listen: s.Listen, Handle: d.serveCaller}); err != nil {
+	if d.callers, err = ingress.Start(ingress.Config{Listen: s.opened(s.Listen), Handle: d.serveCaller}); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -17,13 +17,18 @@
 	"pomelodoor.example/pomelodoor/platform"
 )
 
-// following is the call to the users' store that is under way.
+// following is the call to the users' store that is under way, or the wait for the
+// next one.
 type following struct {
 	mu     sync.Mutex
 	cancel context.CancelFunc
 	asked  bool
+	// hurry ends a wait.
+	hurry chan struct{}
 }
 
+func newFollowing() *following { return &following{hurry: make(chan struct{}, 1)} }
+
 // begin notes a call under way.
 func (f *following) begin(cancel context.CancelFunc) {
 	f.mu.Lock()
@@ -31,14 +36,26 @@
 	f.cancel = cancel
 }
 
-// restart ends the call under way, so that the next one shows what is true now.
+// restart ends the call under way, or the wait, so that the next call shows what
+// is true now.
 func (f *following) restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked = true
 	if f.cancel != nil {
-		f.asked = true
 		f.cancel()
 	}
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// pending reports whether restart was called since takeAsked.
+func (f *following) pending() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asked
 }
 
 // takeAsked reports whether restart was called since the last time.
@@ -59,16 +76,20 @@
 		documents.feed(f)
 		upstreams.feed(f, now)
 	}
-	f := follow.New(follow.Config{Rand: rand.Uint64})
+	f := follow.New(follow.Config{Rand: rand.Uint64, Gather: d.settings.gather()})
 	reread := false
 	for d.ctx.Err() == nil {
 		now := time.Now()
+		if d.following.takeAsked() {
+			reread = true
+			f.Hurry()
+		}
 		if f.Expire(now) {
 			feed(f, now)
 		}
 		action := f.Next(now)
 		if action.Kind == follow.Wait {
-			d.sleep(action.At.Sub(now))
+			d.following.wait(d.ctx, action.At.Sub(now))
 			continue
 		}
 		if reread {
@@ -76,19 +97,18 @@
 		}
 		troubled := f.Troubled()
 		changed, err := d.readStore(f, action)
-		now = time.Now()
-		if d.following.takeAsked() {
-			reread = true
+		if changed {
+			feed(f, time.Now())
+		}
+		if errors.Is(err, context.Canceled) {
+			// A call that was ended here shows nothing of the store.
 			continue
 		}
 		d.noteStore(troubled, f, err)
-		if err == nil && reread {
+		if err == nil && reread && !d.following.pending() {
 			reread = false
 			d.update(node.StoreAnswered{})
 		}
-		if changed {
-			feed(f, now)
-		}
 	}
 }
 
@@ -135,13 +155,15 @@
 	}
 }
 
-// sleep waits, but not beyond the end of the daemon.
-func (d *Daemon) sleep(wait time.Duration) {
-	t := time.NewTimer(wait)
+// wait waits until the next call is due, or restart asks for it, but not beyond the
+// end of the daemon.
+func (f *following) wait(ctx context.Context, due time.Duration) {
+	t := time.NewTimer(due)
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-d.ctx.Done():
+	case <-f.hurry:
+	case <-ctx.Done():
 	}
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -26,6 +27,7 @@
 	Peer             string   `arg:"--peer,required,env:POMELODOOR_PEER" help:"IP:PORT of HTTP for other daemons"`
 	Control          string   `arg:"--control,required,env:POMELODOOR_CONTROL" help:"IP:PORT of jsonrpc2 for other daemons"`
 	Admin            string   `arg:"--admin,required,env:POMELODOOR_ADMIN" help:"IP:PORT of HTTP for operators: /status and /debug/vars"`
+	Bind             string   `arg:"--bind,env:POMELODOOR_BIND" help:"IP to open the ports at, where it differs from that by which others come"`
 	Upstream         string   `arg:"--upstream,required,env:POMELODOOR_UPSTREAM" help:"IP:PORT of the upstream beside this daemon"`
 	Platform         []string `arg:"--platform,env:POMELODOOR_PLATFORM" help:"IP:PORT of the registry of documents and instances; several are tried in turn"`
 	Store            string   `arg:"--store,env:POMELODOOR_STORE" help:"IP:PORT of the users' store, in place of --platform"`
@@ -110,6 +112,9 @@
 		}
 		own[a.address] = a.flag
 	}
+	if _, err := netip.ParseAddr(s.Bind); s.Bind != "" && err != nil {
+		fault("bind", fmt.Sprintf("%q is no IP", s.Bind))
+	}
 	for _, address := range s.Platform {
 		if !isAddress(address) {
 			fault("platform", fmt.Sprintf("%q is not IP:PORT", address))
@@ -147,14 +152,32 @@
 
 // String returns the bounds as the log shows them.
 func (b sharedBounds) String() string {
-	return fmt.Sprintf("stopWithin=%s retryShare=%g retryExtra=%g retryWindow=%s probesPerSecond=%g",
-		b.StopWithin, b.RetryShare, b.RetryExtra, b.RetryWindow, b.ProbesPerSecond)
+	return fmt.Sprintf("stopWithin=%s applyWithin=%s retryShare=%g retryExtra=%g retryWindow=%s probesPerSecond=%g",
+		b.StopWithin, b.ApplyWithin, b.RetryShare, b.RetryExtra, b.RetryWindow, b.ProbesPerSecond)
 }
 
 func (b sharedBounds) retry() node.SharedBudget {
 	return node.SharedBudget{Share: b.RetryShare, Extra: b.RetryExtra, Window: b.RetryWindow}
 }
 
+// opened returns where to open the port of an address by which others come.
+func (s *Settings) opened(address string) string {
+	_, port, err := net.SplitHostPort(address)
+	if s.Bind == "" || err != nil {
+		return address
+	}
+	return net.JoinHostPort(s.Bind, port)
+}
+
+// gatherPercent is the part of the time to follow the store for which its changes
+// may be gathered. The rest is for the call and for a slow processor.
+const gatherPercent = 65
+
+// gather returns how long changes of the store are gathered; 0 is the default.
+func (s *Settings) gather() time.Duration {
+	return s.bounds.ApplyWithin * gatherPercent / 100
+}
+
 // isAddress reports whether text is an IP number and a port above 0.
 func isAddress(text string) bool {
 	a, err := netip.ParseAddrPort(text)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -10,8 +10,7 @@
 	// few calls.
 	DefaultWatchFor = 30 * time.Second
 	// DefaultGather is how long a watch is put off after a change, so that
-	// changes that come together cost one call. It is half of the shortest time
-	// in which the platform wants a change in force.
+	// changes that come together cost one call.
 	DefaultGather = time.Second
 	// DefaultKeepFor is how long a key that went during trouble is kept after
 	// the store's return.
@@ -168,6 +167,14 @@
 	return changed
 }
 
+// Hurry ends the wait after a change: the next call is due now. A wait after a
+// failure goes on.
+func (f *Follower) Hurry() {
+	if f.failures == 0 {
+		f.notBefore = time.Time{}
+	}
+}
+
 // Dropped says that the store no longer has the history that a watch asked for.
 func (f *Follower) Dropped(now time.Time) {
 	f.answered(now)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -41,6 +41,7 @@
 
 func failed(f *follow.Follower, now time.Time)  { f.Failed(now) }
 func dropped(f *follow.Follower, now time.Time) { f.Dropped(now) }
+func hurried(f *follow.Follower, _ time.Time)   { f.Hurry() }
 func expired(f *follow.Follower, now time.Time) { f.Expire(now) }
 
 func TestFollower(t *testing.T) {
@@ -77,6 +78,16 @@
 			keys:   []string{"a", "c"}, ms: 11,
 			action: follow.Action{Kind: follow.Wait, At: at(1010)},
 		},
+		"a hurried watch is not put off": {
+			events: []event{{0, listed(5, false, item("a", 1))}, {10, watched(6, item("c", 6))}, {20, hurried}},
+			keys:   []string{"a", "c"}, ms: 21,
+			action: follow.Action{Kind: follow.Watch, Revision: 6, For: follow.DefaultWatchFor},
+		},
+		"hurry does not shorten the wait after a failure": {
+			events: []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {20, hurried}},
+			keys:   []string{"a"}, ms: 21,
+			action: follow.Action{Kind: follow.Wait, At: at(60)},
+		},
 		"a key that goes is gone at once": {
 			events: []event{{0, listed(5, false, item("a", 1))}, {10, watched(6, gone("a", 6))}},
 			keys:   []string{}, ms: 11, action: follow.Action{Kind: follow.Wait, At: at(1010)},
--- a/measure/reading.go
+++ b/measure/reading.go
@@ -27,6 +27,8 @@
 	// PacePercent is how long work takes at this moment, 100 being usual and 0
 	// not known.
 	PacePercent int `json:"pacePercent"`
+	// Upstream names the life of the upstream that answered, where it tells.
+	Upstream string `json:"upstream,omitempty"`
 }
 
 // ErrReading is returned for an answer that makes no sense.
--- a/node/admission.go
+++ b/node/admission.go
@@ -151,7 +151,7 @@
 	}
 	run.started = now
 	run.pace, _ = n.gate.Pace()
-	return []Command{Run{ID: run.request.ID, Before: run.before, Pace: run.pace}}
+	return []Command{Run{ID: run.request.ID, Before: run.before, Pace: run.pace, Upstream: n.life(run.request.Upstream)}}
 }
 
 // runEnded frees the slot and lets the next request start.
--- a/node/command.go
+++ b/node/command.go
@@ -67,6 +67,8 @@
 	// Pace is the upstream's pace at this moment in percent of the usual; 0 when
 	// not known.
 	Pace int
+	// Upstream names the life of the upstream that is meant; "" is any.
+	Upstream string
 }
 
 // Refuse answers the sender of a PeerRequest that ends without a Run.
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -314,3 +315,87 @@
 		t.Fatalf("a fresh daemon starts work on a slow upstream: %+v", r)
 	}
 }
+
+// TestPresentLifeIsMeant: a request is for the upstream that stands there now,
+// whichever life its sender has from an older or a newer list.
+func TestPresentLifeIsMeant(t *testing.T) {
+	tests := map[string]struct {
+		told   string // by the upstream of itself
+		sender string
+		want   string
+		asked  bool
+	}{
+		"all agree":                     {"i-self:2", "i-self:2", "i-self:2", false},
+		"the sender's list is older":    {"i-self:2", "i-before", "i-self:2", false},
+		"the sender's list is newer":    {"i-new", "i-new", "i-new", true},
+		"nobody has listed it":          {"i-new", "i-self:2", "i-self:2", true},
+		"the upstream does not tell it": {"", "i-before", "i-self:2", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := directNode(t, config.LoadAware, config.Probe, config.Shed)
+			l.routes(1, onlyFaults)
+			l.list("self:2")
+			// The first request finds no probe to spend yet.
+			var out []node.Command
+			for _, id := range []string{"0", "1"} {
+				out = l.do(node.PeerRequest{From: "b:2", Target: "self:2", Request: call.Request{
+					ID: id, Service: "faults", Deadline: l.now.Add(time.Second), Upstream: test.sender,
+				}})
+				l.after(100 * time.Millisecond)
+			}
+			out = append(out, l.do(node.ProbeEnded{Reading: measure.Reading{PacePercent: 100, Upstream: test.told}})...)
+			run, ok := find(out, node.Run{}).(node.Run)
+			if !ok || run.Upstream != test.want {
+				t.Errorf("runs at %q, want %q", run.Upstream, test.want)
+			}
+			if _, asked := find(out, node.RereadStore{}).(node.RereadStore); asked != test.asked {
+				t.Errorf("the store is asked: %t, want %t", asked, test.asked)
+			}
+			if again := l.do(node.ProbeEnded{Reading: measure.Reading{PacePercent: 100, Upstream: test.told}}); find(again, node.RereadStore{}) != nil {
+				t.Error("the store is asked again at once")
+			}
+		})
+	}
+}
+
+// TestLoadIsToldToThoseThatSend: in a large zone the load is told to daemons that
+// sent a request lately, in a small one to all.
+func TestLoadIsToldToThoseThatSend(t *testing.T) {
+	tests := map[string]struct {
+		others int
+		since  time.Duration
+		want   []string
+	}{
+		"a small zone":                 {3, 0, []string{"z0:2c", "z1:2c", "z2:2c"}},
+		"a large zone":                 {20, 0, []string{"z7:2c"}},
+		"a large zone, sent long ago":  {20, 2 * time.Second, nil},
+		"a large zone, sent a bit ago": {20, 300 * time.Millisecond, []string{"z7:2c"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := directNode(t, config.LoadAware, config.Probe, config.Shed)
+			l.routes(1, onlyFaults)
+			ids := []string{"self:2"}
+			for i := range test.others {
+				ids = append(ids, fmt.Sprintf("z%d:2", i))
+			}
+			l.list(ids...)
+			l.do(node.Tick{})
+			l.do(node.PeerRequest{From: "z7:2", Target: "self:2", Request: call.Request{
+				ID: "1", Service: "faults", Deadline: l.now.Add(5 * time.Second),
+			}})
+			l.after(test.since)
+			var told []string
+			for _, c := range l.do(node.ProbeEnded{Reading: measure.Reading{PacePercent: 500}}) {
+				if send, ok := c.(node.Send); ok {
+					told = append(told, send.Address)
+				}
+			}
+			slices.Sort(told)
+			if !slices.Equal(told, test.want) {
+				t.Fatalf("told %v, want %v", told, test.want)
+			}
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -106,6 +106,10 @@
 	paceTold   int
 	callsTold  int
 	paceToldAt time.Time
+	// present is the life that the own upstream tells of itself, and rereadAt
+	// when the store was last asked for it.
+	present  string
+	rereadAt time.Time
 	// crowding is what was last noted of Gate.Crowding.
 	crowding float64
 	// gateDue is true while a WakeGate is under way.
--- a/node/pace.go
+++ b/node/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,10 +20,14 @@
 	// paceChange is the factor by which the pace must change before other
 	// daemons are told at once.
 	paceChange = 1.4
-	// callerLife is how long a daemon that sent requests is told of the load.
-	callerLife = 10 * time.Second
-	// maxCallers is the size of a zone up to which all its daemons are told, and
-	// bounds the daemons that are remembered.
+	// smallZone is the number of other daemons in a zone up to which all are told
+	// of the load. In a larger one those are told that sent a request lately: what
+	// the others send next is as likely to come when the pace has changed again.
+	smallZone = 4
+	// callerLife is how long a daemon that sent requests is told of the load,
+	// about two slow spells.
+	callerLife = 500 * time.Millisecond
+	// maxCallers bounds the daemons that are remembered.
 	maxCallers = 64
 	// workWeight is the inverse of the share of one run in a route's work.
 	workWeight = 16
@@ -53,7 +58,8 @@
 
 // heardOwn takes in what the own upstream says of itself with an answer.
 func (n *Node) heardOwn(reading measure.Reading, now time.Time) []Command {
-	out := n.admit(n.gate.Measured(reading.PacePercent, now), now)
+	out := n.noteLife(reading.Upstream, now)
+	out = append(out, n.admit(n.gate.Measured(reading.PacePercent, now), now)...)
 	out = append(out, n.watchPace(now)...)
 	return append(out, n.tellZone(now)...)
 }
@@ -98,7 +104,7 @@
 }
 
 // listeners returns the daemons to tell: all of the own availability zone or, in
-// a large one, those that send requests here.
+// a large one, those that lately sent requests here.
 func (n *Node) listeners(now time.Time) []string {
 	var zone []string
 	for _, r := range n.view.All() {
@@ -106,7 +112,7 @@
 			zone = append(zone, r.ID)
 		}
 	}
-	if len(zone) <= maxCallers {
+	if len(zone) <= smallZone {
 		return zone
 	}
 	return slices.DeleteFunc(zone, func(id string) bool {
@@ -125,9 +131,13 @@
 	if from == n.self() {
 		return
 	}
-	if _, known := n.callers[from]; known || len(n.callers) < maxCallers {
-		n.callers[from] = now
+	if _, known := n.callers[from]; !known && len(n.callers) >= maxCallers {
+		maps.DeleteFunc(n.callers, func(_ string, last time.Time) bool { return now.Sub(last) > callerLife })
+		if len(n.callers) >= maxCallers {
+			return
+		}
 	}
+	n.callers[from] = now
 }
 
 // loadHeard takes in the load that another daemon tells of its upstream.
