--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 //
 //	go run ./cmd/standin demo
 //	go run ./cmd/standin added
+//	go run ./cmd/standin soak --seeds 10
 //	go run ./cmd/standin platform --listen 127.0.0.1:7000
 //	go run ./cmd/standin worker --listen 127.0.0.1:7100 --id faults-1
 //	go run ./cmd/standin call --service faults --target 127.0.0.1:8000
@@ -37,6 +38,7 @@
 	Worker   *workerArgs   `arg:"subcommand:worker" help:"serve requests as an upstream"`
 	Call     *callArgs     `arg:"subcommand:call" help:"offer load and check each answer"`
 	Added    *addedArgs    `arg:"subcommand:added" help:"measure what the path of two daemons adds to a direct call"`
+	Soak     *soakArgs     `arg:"subcommand:soak" help:"let faults befall real daemons and check the promises"`
 	Demo     *demoArgs     `arg:"subcommand:demo" help:"start a service with its daemons, call it and check the promises"`
 }
 
@@ -72,6 +74,8 @@
 		return a.Call.run(ctx)
 	case a.Added != nil:
 		return a.Added.run(ctx)
+	case a.Soak != nil:
+		return a.Soak.run(ctx)
 	case a.Demo != nil:
 		return a.Demo.run(ctx)
 	}
--- a/standin/caller_test.go
+++ b/standin/caller_test.go
@@ -62,12 +62,12 @@
 // fakeDaemon answers every request with one outcome, and as handle says.
 func fakeDaemon(t *testing.T, handle fasthttp.RequestHandler) string {
 	t.Helper()
-	l, err := listen("", 0)
+	l, err := Listen("", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = (&fasthttp.Server{Handler: handle, Logger: quiet{}}).Serve(l) }()
-	t.Cleanup(l.kill)
+	t.Cleanup(l.Kill)
 	return l.Addr().String()
 }
 
--- a/standin/listener.go
+++ b/standin/listener.go
@@ -14,9 +14,9 @@
 // anyPort is the address that lets the system choose a free loopback port.
 const anyPort = "127.0.0.1:0"
 
-// listener accepts loopback connections and remembers them, so that closing it
+// Listener accepts loopback connections and remembers them, so that closing it
 // closes them too, as the end of a process would.
-type listener struct {
+type Listener struct {
 	net.Listener
 	openTime time.Duration
 
@@ -27,12 +27,13 @@
 // conn delays its first read by the time that opening a connection takes.
 type conn struct {
 	net.Conn
-	owner *listener
+	owner *Listener
 	wait  time.Duration
 }
 
-// listen opens a loopback listener. An empty address means any free port.
-func listen(addr string, openTime time.Duration) (*listener, error) {
+// Listen opens a loopback listener whose connections take openTime before the
+// first byte is read. An empty address means any free port.
+func Listen(addr string, openTime time.Duration) (*Listener, error) {
 	if addr == "" {
 		addr = anyPort
 	}
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
-	return &listener{Listener: l, openTime: openTime, conns: make(map[*conn]struct{})}, nil
+	return &Listener{Listener: l, openTime: openTime, conns: make(map[*conn]struct{})}, nil
 }
 
 // checkLoopback returns ErrNotLoopback unless addr names a loopback IP.
@@ -59,7 +60,7 @@
 }
 
 // Accept waits for the next connection.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -71,8 +72,8 @@
 	return tracked, nil
 }
 
-// kill closes the listener and resets every open connection.
-func (l *listener) kill() {
+// Kill closes the listener and resets every open connection.
+func (l *Listener) Kill() {
 	_ = l.Close()
 	l.mu.Lock()
 	open := make([]*conn, 0, len(l.conns))
@@ -81,7 +82,7 @@
 	}
 	l.mu.Unlock()
 	for _, c := range open {
-		reset(c)
+		Reset(c)
 	}
 }
 
@@ -111,8 +112,8 @@
 	return c.Conn.Close()
 }
 
-// reset closes a connection so that the other side sees a reset.
-func reset(c net.Conn) {
+// Reset closes a connection so that the other side sees a reset.
+func Reset(c net.Conn) {
 	if tracked, ok := c.(*conn); ok {
 		defer func() { _ = tracked.Close() }()
 		c = tracked.Conn
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -55,7 +55,7 @@
 // Platform stands in for the platform's read-and-watch service. Readers see
 // /v1; drivers of a test change what it serves by /admin or by its methods.
 type Platform struct {
-	listener   *listener
+	listener   *Listener
 	server     *fasthttp.Server
 	answerTime time.Duration
 	reads      *readCounter
@@ -97,7 +97,7 @@
 
 // NewPlatform starts a platform stand-in.
 func NewPlatform(cfg PlatformConfig) (*Platform, error) {
-	l, err := listen(cfg.Listen, 0)
+	l, err := Listen(cfg.Listen, 0)
 	if err != nil {
 		return nil, fmt.Errorf("start platform: %w", err)
 	}
@@ -131,7 +131,7 @@
 // Close ends the platform and every connection to it.
 func (p *Platform) Close() {
 	close(p.closed)
-	p.listener.kill()
+	p.listener.Kill()
 }
 
 // Publish sets the document under a key.
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -172,7 +172,7 @@
 
 func TestListenRefusesOtherMachines(t *testing.T) {
 	for _, addr := range []string{"0.0.0.0:0", ":0", "example.com:1", "10.0.0.1:0"} {
-		if _, err := listen(addr, 0); err == nil {
+		if _, err := Listen(addr, 0); err == nil {
 			t.Errorf("%s taken", addr)
 		}
 	}
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,6 +29,8 @@
 	// CutBlackHole holds everything back and says nothing, as a link that
 	// drops packets; what was held goes on when it ends.
 	CutBlackHole Cut = "blackHole"
+	// CutAnswers is a black hole for what comes back, and passes on the rest.
+	CutAnswers Cut = "answers"
 	// CutReset resets every connection, old and new.
 	CutReset Cut = "reset"
 )
@@ -55,7 +58,7 @@
 // zones.
 type Relay struct {
 	to       string
-	listener *listener
+	listener *Listener
 	closed   chan struct{}
 
 	mu      sync.Mutex
@@ -70,7 +73,7 @@
 	if err := checkLoopback(cfg.To); err != nil {
 		return nil, fmt.Errorf("start relay: %w", err)
 	}
-	l, err := listen(cfg.Listen, 0)
+	l, err := Listen(cfg.Listen, 0)
 	if err != nil {
 		return nil, fmt.Errorf("start relay: %w", err)
 	}
@@ -96,7 +99,7 @@
 	r.changed = make(chan struct{})
 	if link.Cut == CutReset {
 		for c := range r.conns {
-			reset(c)
+			Reset(c)
 		}
 	}
 }
@@ -104,11 +107,11 @@
 // Close ends the relay and every connection over it.
 func (r *Relay) Close() {
 	close(r.closed)
-	r.listener.kill()
+	r.listener.Kill()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		reset(c)
+		Reset(c)
 	}
 }
 
@@ -129,12 +132,12 @@
 		return
 	}
 	defer r.drop(from)
-	if !r.waitOpen() {
+	if !r.waitOpen(CutBlackHole) {
 		return
 	}
 	to, err := net.DialTimeout("tcp", r.to, relayDial)
 	if err != nil {
-		reset(from)
+		Reset(from)
 		return
 	}
 	if !r.keep(to) {
@@ -142,8 +145,8 @@
 	}
 	defer r.drop(to)
 	var both sync.WaitGroup
-	both.Go(func() { r.pass(to, from) })
-	both.Go(func() { r.pass(from, to) })
+	both.Go(func() { r.pass(to, from, CutBlackHole) })
+	both.Go(func() { r.pass(from, to, CutBlackHole, CutAnswers) })
 	both.Wait()
 }
 
@@ -154,12 +157,12 @@
 	defer r.mu.Unlock()
 	select {
 	case <-r.closed:
-		reset(c)
+		Reset(c)
 		return false
 	default:
 	}
 	if r.link.Cut == CutReset {
-		reset(c)
+		Reset(c)
 		return false
 	}
 	r.conns[c] = struct{}{}
@@ -180,14 +183,15 @@
 	data []byte
 }
 
-// pass carries one direction. Bytes stay in order, so a late chunk holds back
-// those behind it. The end of the direction is passed on too.
-func (r *Relay) pass(to, from net.Conn) {
+// pass carries one direction, which the cuts named hold up. Bytes stay in order,
+// so a late chunk holds back those behind it. The end of the direction is passed
+// on too.
+func (r *Relay) pass(to, from net.Conn, cuts ...Cut) {
 	way := make(chan chunk, relayWaiting)
 	over := make(chan struct{})
 	go func() {
 		defer close(over)
-		r.deliver(to, way)
+		r.deliver(to, way, cuts)
 	}()
 	r.receive(from, way, over)
 	close(way)
@@ -213,18 +217,18 @@
 }
 
 // deliver writes each chunk when it is due and the link is open.
-func (r *Relay) deliver(to net.Conn, way <-chan chunk) {
+func (r *Relay) deliver(to net.Conn, way <-chan chunk, cuts []Cut) {
 	for c := range way {
 		time.Sleep(time.Until(c.due))
-		if !r.waitOpen() {
+		if !r.waitOpen(cuts...) {
 			return
 		}
 		if _, err := to.Write(c.data); err != nil {
-			reset(to)
+			Reset(to)
 			return
 		}
 	}
-	if !r.waitOpen() {
+	if !r.waitOpen(cuts...) {
 		return
 	}
 	if half, ok := to.(interface{ CloseWrite() error }); ok {
@@ -246,14 +250,14 @@
 	return d
 }
 
-// waitOpen waits while the link is a black hole and returns false when the
-// relay closes.
-func (r *Relay) waitOpen() bool {
+// waitOpen waits while the link is cut in one of the ways named, and returns false
+// when the relay closes.
+func (r *Relay) waitOpen(cuts ...Cut) bool {
 	for {
 		r.mu.Lock()
 		cut, changed := r.link.Cut, r.changed
 		r.mu.Unlock()
-		if cut != CutBlackHole {
+		if !slices.Contains(cuts, cut) {
 			return true
 		}
 		select {
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -13,11 +13,11 @@
 // echo serves a listener that sends back what it gets.
 func echo(t *testing.T) string {
 	t.Helper()
-	l, err := listen("", 0)
+	l, err := Listen("", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(l.kill)
+	t.Cleanup(l.Kill)
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -73,7 +73,7 @@
 type Worker struct {
 	cfg    WorkerConfig
 	slots  chan struct{}
-	admin  *listener
+	admin  *Listener
 	record record
 	load   lagged
 	rand   *jitter
@@ -82,7 +82,7 @@
 	closed   chan struct{}
 
 	mu       sync.Mutex
-	serving  *listener
+	serving  *Listener
 	factor   float64
 	failFast bool
 	draining bool
@@ -101,13 +101,13 @@
 		closed: make(chan struct{}),
 		factor: 1,
 	}
-	admin, err := listen(cfg.Admin, 0)
+	admin, err := Listen(cfg.Admin, 0)
 	if err != nil {
 		return nil, fmt.Errorf("start worker: %w", err)
 	}
 	w.admin = admin
 	if err := w.serve(cfg.Listen); err != nil {
-		admin.kill()
+		admin.Kill()
 		return nil, fmt.Errorf("start worker: %w", err)
 	}
 	w.cfg.Listen = w.serving.Addr().String()
@@ -132,14 +132,14 @@
 
 // serve opens the worker's address.
 func (w *Worker) serve(addr string) error {
-	l, err := listen(addr, w.cfg.OpenTime)
+	l, err := Listen(addr, w.cfg.OpenTime)
 	if err != nil {
 		return err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.isClosed {
-		l.kill()
+		l.Kill()
 		return nil
 	}
 	w.serving = l
@@ -215,7 +215,7 @@
 	w.crashes++
 	l := w.serving
 	w.mu.Unlock()
-	l.kill()
+	l.Kill()
 	if w.cfg.Restart > 0 {
 		go w.restart()
 	}
@@ -247,8 +247,8 @@
 	}
 	w.isClosed = true
 	close(w.closed)
-	w.admin.kill()
-	w.serving.kill()
+	w.admin.Kill()
+	w.serving.Kill()
 }
 
 // sleep waits for d and returns false when the worker closes before.
