pomelodoor trace; latencies and admission among the counters

Cause: on-call had to join the logs of several daemons by hand, and the counters had no latency. HdrHistogram latencies by route and outcome, at most 65, and the state of admission stand at /debug/vars. costMs of "A request is sent on." is worked out with the route's work and before the call is counted, as the choice was. exchange reads one clock.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -215,10 +215,11 @@
 	Candidates int
 }
 
-// Choice tells what is known of an upstream that was chosen among candidates.
-func (p *Picker) Choice(id string, candidates int, now time.Time) Choice {
+// Choice tells what is known of an upstream that was chosen among candidates for
+// a call of that much work, before the call is counted there.
+func (p *Picker) Choice(id string, candidates int, work time.Duration, now time.Time) Choice {
 	u := p.upstream(id)
-	_, mean := p.cost(u, 0, now)
+	mean := p.costOf(u, float64(work), u.expected(now), now)
 	c := Choice{Cost: time.Duration(mean), Candidates: candidates}
 	if !u.measured.IsZero() {
 		c.LoadAge = now.Sub(u.measured)
--- a/cmd/pomelodoor/main.go
+++ b/cmd/pomelodoor/main.go
@@ -5,6 +5,7 @@
 //	pomelodoor check FILE...                 checks documents before they are published
 //	pomelodoor explain --caller NAME FILE    which upstreams serve a caller
 //	pomelodoor status ADMIN...               what is in force at running daemons
+//	pomelodoor trace --request ID LOG...     the story of one request
 //	pomelodoor burn ADMIN...                 service-level burn of running daemons
 //	pomelodoor version
 package main
@@ -36,6 +37,7 @@
 	Check   *checkCommand    `arg:"subcommand:check" help:"check documents before they are published"`
 	Explain *explainCommand  `arg:"subcommand:explain" help:"show which upstreams serve a caller"`
 	Status  *statusCommand   `arg:"subcommand:status" help:"show what is in force at running daemons"`
+	Trace   *traceCommand    `arg:"subcommand:trace" help:"tell the story of one request from the logs of daemons"`
 	Burn    *burnCommand     `arg:"subcommand:burn" help:"show the service-level burn of running daemons"`
 	Version *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
@@ -83,6 +85,8 @@
 		return a.Explain.run(out)
 	case a.Status != nil:
 		return a.Status.run(out)
+	case a.Trace != nil:
+		return a.Trace.run(out)
 	case a.Burn != nil:
 		return a.Burn.run(out)
 	}
--- a/cmd/pomelodoor/main_test.go
+++ b/cmd/pomelodoor/main_test.go
@@ -23,6 +23,7 @@
 	}
 	good := write("good.json", goodService)
 	bad := write("bad.json", "{\"kind\":\"service\",\n\"revision\":0,\n\"service\":\"faults\",\"colour\":1}")
+	logFile := write("daemon.log", `{"time":"2026-12-04T10:00:00.300Z","prefix":"ingress","msg":"A request is answered.","id":"r1","call":"c1","status":503,"reason":"overloaded"}`)
 	settings := strings.Fields("run --instance faults-1 --service faults --availability-zone a --listen 127.0.0.1:1 " +
 		"--peer 127.0.0.1:2 --control 127.0.0.1:3 --admin 127.0.0.1:4 --upstream 127.0.0.1:5 --platform 127.0.0.1:6")
 	cases := map[string]struct {
@@ -42,6 +43,12 @@
 		"check bad":        {[]string{"check", good, bad}, exitFault, []string{"bad.json:2: revision", "bad.json:3: colour"}},
 		"check no file":    {[]string{"check", filepath.Join(dir, "none")}, exitFault, []string{"none"}},
 		"explain":          {[]string{"explain", "--caller", "dispatch-1", "--instance", "faults-1:a", "--instance", "faults-2:b", good}, exitOK, []string{"dispatchers", "faults-1", "faults-2"}},
+		"trace":            {[]string{"trace", "--request", "r1", logFile}, exitOK, []string{"A request is answered.", "status=503", "reason=overloaded"}},
+		"trace as JSON":    {[]string{"trace", "--request", "r1", "--json", logFile}, exitOK, []string{`"text":"A request is answered."`, `"shiftMs":0`}},
+		"trace of nothing": {[]string{"trace", logFile}, exitFault, []string{"no request"}},
+		"trace of none":    {[]string{"trace", "--request", "r2", logFile}, exitFault, []string{"no line tells of it"}},
+		"trace no file":    {[]string{"trace", "--request", "r1", filepath.Join(dir, "none")}, exitFault, []string{"none"}},
+		"bind to a name":   {append(settings, "--bind", "localhost"), exitUsage, []string{`--bind: "localhost" is no IP`}},
 		"status of nobody": {[]string{"status", "127.0.0.1:1"}, exitFault, []string{"missing"}},
 		"burn of nobody":   {[]string{"burn", "127.0.0.1:1"}, exitFault, []string{"missing"}},
 	}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -32,6 +32,8 @@
 	attempts sync.WaitGroup
 	mu       sync.Mutex
 	open     map[int]*outgoing
+	// route is the one that the request was found to take, once it is known.
+	route string
 }
 
 // outgoing is one attempt: how to cancel it, and its answer once it has one.
@@ -64,6 +66,7 @@
 	d.endIfLeaving(ctx)
 	took := time.Since(now)
 	d.record(request.Service, outcome, reason, ctx.Response.StatusCode(), took)
+	d.metrics.latencies.add(c.route, outcome, took)
 	d.lineAnswered(request, outcome, reason, ctx.Response.StatusCode(), took)
 }
 
@@ -155,6 +158,7 @@
 // forward starts one attempt. The request is copied here, because the handler's
 // own may only be touched by this goroutine.
 func (c *callerCall) forward(f node.Forward) {
+	c.route = f.Request.Route
 	c.d.lineForwarded(f)
 	ctx, cancel := context.WithDeadline(c.waiting, f.Request.Deadline)
 	out := &outgoing{cancel: cancel}
--- a/daemon/lines.go
+++ b/daemon/lines.go
@@ -76,9 +76,7 @@
 	if !d.allow(logline.Trouble, time.Now()) {
 		return
 	}
-	d.mu.Lock()
-	load := d.node.Load(time.Now())
-	d.mu.Unlock()
+	load := d.load()
 	d.part("admit").Info("A request is turned away.",
 		"id", request.Token, "call", request.ID, "outcome", r.Outcome, "reason", r.Reason,
 		"leftMs", ms(time.Until(request.Deadline)), "toTargetMs", ms(time.Until(request.Target)), "state", load.State,
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,15 +18,23 @@
 	// handedOn counts requests passed to a sibling before they ran.
 	handedOn expvar.Int
 	probes   expvar.Int
+	// latencies are the times until callers were answered.
+	latencies *latencies
 }
 
 // newMetrics gathers what the daemon counts under one map.
 func newMetrics(d *Daemon) *metrics {
 	m := &metrics{
-		vars:     new(expvar.Map).Init(),
-		outcomes: new(expvar.Map).Init(),
-		reasons:  new(expvar.Map).Init(),
+		vars:      new(expvar.Map).Init(),
+		outcomes:  new(expvar.Map).Init(),
+		reasons:   new(expvar.Map).Init(),
+		latencies: newLatencies(),
 	}
+	m.vars.Set("latencies", expvar.Func(func() any { return m.latencies.report() }))
+	m.vars.Set("admission", expvar.Func(func() any {
+		l := d.load()
+		return map[string]any{"state": l.State, "running": l.InFlight, "queued": l.Queued, "slots": l.Slots, "pace": l.Pace}
+	}))
 	m.vars.Set("outcomes", m.outcomes)
 	m.vars.Set("reasons", m.reasons)
 	m.vars.Set("attempts", &m.attempts)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/exchange"
 	"pomelodoor.example/pomelodoor/ingress"
@@ -99,11 +100,16 @@
 	return context.WithoutCancel(ctx)
 }
 
+// load returns the load of the own upstream now.
+func (d *Daemon) load() balance.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Load(time.Now())
+}
+
 // withLoad adds the load of the own upstream to an answer.
 func (d *Daemon) withLoad(a *answer) *answer {
-	d.mu.Lock()
-	a.result.Load, a.result.HasLoad = d.node.Load(time.Now()), true
-	d.mu.Unlock()
+	a.result.Load, a.result.HasLoad = d.load(), true
 	a.result.Answered = true
 	return a
 }
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -33,7 +33,7 @@
 	}
 	c, err := p.get(ctx)
 	if err != nil {
-		settle(ctx)
+		p.settle(ctx)
 		return withCause(ctx, fmt.Errorf("%w: %w", ErrNotSent, err))
 	}
 	stop := watch(ctx, c)
@@ -41,7 +41,7 @@
 	if err != nil {
 		stop()
 		p.discard(c)
-		settle(ctx)
+		p.settle(ctx)
 		if ctx.Err() == nil && errors.Is(err, ErrLost) {
 			p.Flush()
 		}
@@ -55,8 +55,8 @@
 
 // settle waits for the end of the context where the connection's own deadline,
 // which is the same moment, fired first.
-func settle(ctx context.Context) {
-	if deadline, ok := ctx.Deadline(); !ok || time.Now().Before(deadline) {
+func (p *Pool) settle(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); !ok || p.cfg.Now().Before(deadline) {
 		return
 	}
 	limit := time.NewTimer(settleLimit)
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -129,7 +129,9 @@
 	c.made++
 	c.tried = append(c.tried, target)
 	c.open = append(c.open, attempt{number: c.made, target: target, zone: record.AvailabilityZone, began: now})
-	n.picker(c.service).Started(target, now)
+	picker := n.picker(c.service)
+	choice := picker.Choice(target, len(n.candidates(c.service, c.selector).list), n.workOf(c.request, now), now)
+	picker.Started(target, now)
 	onward := c.request
 	onward.ID = c.request.ID + "-" + strconv.Itoa(c.made)
 	onward.Attempt = c.above + c.made - 1
@@ -139,7 +141,7 @@
 		ID: c.request.ID, Number: c.made, To: record.Instance, Incarnation: n.incarnation(record), Request: onward,
 	}
 	f.Routes = n.routesRevision()
-	f.Choice = n.picker(c.service).Choice(target, len(n.candidates(c.service, c.selector).list), now)
+	f.Choice = choice
 	out := []Command{f}
 	if delay, ok := n.policy(c.service, now).HedgeAfter(n.try(c), now); ok && c.made == 1 {
 		out = append(out, HedgeAfter{ID: c.request.ID, Delay: delay})
