A pace above 250 is slow however long it lasts

Cause: with the best of late as the measure, upstreams that are ill for seconds (srv_slow, a pace of 480) soon counted as usual and started work at it. Change: the best of late counts up to 250. Test: admit TestPace, ill for long.

--- a/admit/pace.go
+++ b/admit/pace.go
@@ -9,9 +9,11 @@
 const (
 	// usualPace is the pace of an upstream that nothing slows down, in percent.
 	usualPace = 100
-	// coldPace is the best pace to expect of an upstream that has just started,
-	// until one was read.
-	coldPace = 300
+	// worstUsual is the slowest pace that counts as usual, however long it lasts:
+	// an upstream that is slower than one that has just started is ill, and others
+	// of its service are likely well. It is what is expected of one that has just
+	// started until its pace was read.
+	worstUsual = 250
 	// slowPercent is the pace, in percent of the best of late, from which an
 	// upstream counts as slow.
 	slowPercent = 150
@@ -60,7 +62,7 @@
 // first is the best pace to expect before any was read.
 func (p *pace) first() int {
 	if p.cold {
-		return coldPace
+		return worstUsual
 	}
 	return usualPace
 }
@@ -101,11 +103,14 @@
 	case p.best == 0:
 		return usualPace
 	case p.bestBefore == 0:
-		return max(p.best, usualPace)
+		return inUsual(p.best)
 	}
-	return max(min(p.best, p.bestBefore), usualPace)
+	return inUsual(min(p.best, p.bestBefore))
 }
 
+// inUsual brings a pace into the bounds of what is usual.
+func inUsual(percent int) int { return min(max(percent, usualPace), worstUsual) }
+
 // work is what a request takes when nothing slows the upstream down for a moment.
 func (p *pace) work(req call.Request) time.Duration {
 	return req.Work * time.Duration(p.usual()) / usualPace
--- a/admit/pace_test.go
+++ b/admit/pace_test.go
@@ -67,6 +67,8 @@
 			[]string{"start a"}},
 		"slower than slow for long is slow": {2, []event{{ms: 0, pace: 200}, {ms: 300, pace: 200}, {ms: 500, pace: 200}, {ms: 900, pace: 1000}, arrive(901, paced("a", 1400))},
 			[]string{"refuse a slow"}},
+		"ill for long is not usual": {2, []event{{ms: 0, pace: 480}, {ms: 300, pace: 480}, {ms: 500, pace: 480}, {ms: 900, pace: 480}, arrive(901, paced("a", 1400))},
+			[]string{"refuse a slow"}},
 		"the best of late comes back": {2, []event{{ms: 0, pace: 200}, {ms: 900, pace: 200}, {ms: 1400, pace: 100}, {ms: 1500, pace: 200}, arrive(1501, paced("a", 2000))},
 			[]string{"refuse a slow"}},
 		"no more than the slots": {1, []event{{ms: 0, pace: 100}, arrive(1, paced("a", 400)), arrive(2, paced("b", 400)), {ms: 60, pace: 100}, {ms: 61, finish: "a"}},
