--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -159,7 +159,7 @@
 	if d.control, err = peer.Start(peer.Config{Listen: s.opened(s.Control), Handle: d.receive, Lost: d.lostFraming}); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.opened(s.Peer), Handle: d.servePeer, Expect: d.expectPeer}); err != nil {
+	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.opened(s.Peer), Handle: d.servePeer, Expect: d.expectPeer, NoDate: true}); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
 	if d.admin, err = ingress.Start(ingress.Config{Listen: s.opened(s.Admin), Handle: d.serveAdmin}); err != nil {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -118,6 +118,9 @@
 	h.SetBytesV(call.HeaderForward, w.line)
 	h.Set(call.HeaderCall, r.ID)
 	WriteOnward(h, r, now)
+	if r.Attempt == 0 {
+		h.Del(call.HeaderAttempt)
+	}
 }
 
 // fieldWriter writes fields in the form of a query.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -35,6 +35,9 @@
 	// returns 100 to have the body sent, or the status to refuse with. Nil has
 	// every body sent.
 	Expect func(*fasthttp.RequestCtx) int
+	// NoDate leaves the Date of answers to the daemon that the caller reached:
+	// bytes between availability zones are dear.
+	NoDate bool
 }
 
 // Server is one listening HTTP edge.
@@ -63,6 +66,7 @@
 		IdleTimeout:                  idleTimeout,
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
+		NoDefaultDate:                cfg.NoDate,
 		CloseOnShutdown:              true,
 		Logger:                       quiet{},
 	}
