--- /dev/null
+++ b/daemon/settings_doc_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write docs/settings.md anew")
+
+const settingsPage = "../docs/settings.md"
+
+// settingsTable is the reference of settings, made of the tags that parse them.
+func settingsTable() string {
+	var b strings.Builder
+	b.WriteString("# Settings of a daemon\n\n" +
+		"Flags of `pomelodoor run`, or environment variables; a flag goes first. Every wrong one is\n" +
+		"named at the start, with its flag. This page is made of the code:\n" +
+		"`go test ./daemon -run TestSettingsPage -update`.\n\n" +
+		"| flag | variable | default | |\n|---|---|---|---|\n")
+	t := reflect.TypeFor[Settings]()
+	for i := range t.NumField() {
+		tag := t.Field(i).Tag
+		if tag.Get("arg") == "" {
+			continue
+		}
+		name, env, byDefault := "", "", tag.Get("default")
+		for _, part := range strings.Split(tag.Get("arg"), ",") {
+			switch {
+			case strings.HasPrefix(part, "--"):
+				name = part
+			case strings.HasPrefix(part, "env:"):
+				env = strings.TrimPrefix(part, "env:")
+			case part == "required":
+				byDefault = "required"
+			}
+		}
+		fmt.Fprintf(&b, "| `%s` | `%s` | %s | %s |\n", name, env, byDefault, tag.Get("help"))
+	}
+	return b.String()
+}
+
+// TestSettingsPage keeps the page of settings true to the code.
+func TestSettingsPage(t *testing.T) {
+	want := settingsTable()
+	if *update {
+		if err := os.WriteFile(settingsPage, []byte(want), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(settingsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Fatalf("%s differs from the code; write it anew with -update", settingsPage)
+	}
+}
