An upstream that tells no load serves

Cause: some services tell no load. Ruled out: believing the status of the health path, which may be false either way. Change: an answer without a load is an answer; after three without a pace requests start without asking, until an answer tells one. A load that cannot be read is still a failed probe.

--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/measure"
@@ -399,3 +400,52 @@
 		})
 	}
 }
+
+// TestUpstreamThatTellsNoPaceServes: some upstreams tell no load, or none of their
+// pace. They are used as they are, and not asked again and again.
+func TestUpstreamThatTellsNoPaceServes(t *testing.T) {
+	l := directNode(t, config.LoadAware, config.Probe, config.Shed)
+	l.routes(1, onlyFaults)
+	l.list("self:2")
+	l.do(node.Tick{})
+	probes, runs := 0, 0
+	take := func(commands []node.Command) (asked bool) {
+		for _, c := range commands {
+			switch c.(type) {
+			case node.Probe:
+				probes, asked = probes+1, true
+			case node.Run:
+				runs++
+			}
+		}
+		return asked
+	}
+	const requests = 40
+	for i := range requests {
+		l.after(200 * time.Millisecond)
+		l.do(node.Tick{})
+		id := fmt.Sprint(i)
+		if take(l.do(node.PeerRequest{From: "b:2", Target: "self:2", Request: call.Request{
+			ID: id, Service: "faults", Deadline: l.now.Add(time.Second), Route: "look",
+		}})) {
+			l.after(time.Millisecond)
+			take(l.do(node.ProbeEnded{Reading: measure.Reading{State: measure.Serving}}))
+		}
+		l.after(20 * time.Millisecond)
+		take(l.do(node.RunEnded{ID: id, Outcome: call.Run, Reason: call.Answered, Status: 200, Latency: 20 * time.Millisecond}))
+	}
+	if runs != requests || probes > 10 {
+		t.Errorf("%d of %d requests run, %d probes", runs, requests, probes)
+	}
+	if got := l.Load(l.now).State; got != balance.Serving {
+		t.Errorf("the upstream is told as %s", got)
+	}
+	// An answer that tells the pace is believed again.
+	l.do(node.PeerRequest{From: "b:2", Target: "self:2", Request: call.Request{ID: "x", Service: "faults", Deadline: l.now.Add(time.Second)}})
+	l.do(node.RunEnded{ID: "x", Outcome: call.Run, Status: 200, HasReading: true, Reading: measure.Reading{PacePercent: 500}})
+	l.after(200 * time.Millisecond)
+	probes = 0
+	if !take(l.do(node.PeerRequest{From: "b:2", Target: "self:2", Request: call.Request{ID: "y", Service: "faults", Deadline: l.now.Add(time.Second)}})) {
+		t.Error("an upstream that tells its pace is not asked")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -110,6 +110,9 @@
 	// when the store was last asked for it.
 	present  string
 	rereadAt time.Time
+	// paceless is the number of answers of the own upstream in a row that did not
+	// tell its pace.
+	paceless int
 	// crowding is what was last noted of Gate.Crowding.
 	crowding float64
 	// gateDue is true while a WakeGate is under way.
--- a/node/pace.go
+++ b/node/pace.go
@@ -29,6 +29,9 @@
 	callerLife = 500 * time.Millisecond
 	// maxCallers bounds the daemons that are remembered.
 	maxCallers = 64
+	// muteAfter is the number of answers in a row without a pace after which the
+	// upstream is taken to tell none.
+	muteAfter = 3
 	// workWeight is the inverse of the share of one run in a route's work.
 	workWeight = 16
 	// loadChange is the number of calls more or less, and loadGather the least
@@ -39,6 +42,27 @@
 	minTold = 2 * time.Millisecond
 )
 
+// noteMute takes in whether the upstream tells its pace. One that does not, in a
+// few answers, is not asked again: its next answer that does is believed.
+func (n *Node) noteMute(pacePercent int) []Command {
+	before := n.mute()
+	n.paceless++
+	if pacePercent > 0 {
+		n.paceless = 0
+	}
+	if n.mute() == before {
+		return nil
+	}
+	text := "The upstream tells its pace. Requests start by it."
+	if n.mute() {
+		text = "The upstream does not tell its pace. Requests start without."
+	}
+	return []Command{Note{Part: "measure", Text: text}}
+}
+
+// mute reports whether the own upstream does not tell its pace.
+func (n *Node) mute() bool { return n.paceless >= muteAfter }
+
 // paced reports whether requests are started by the upstream's present pace.
 func (n *Node) paced() bool {
 	return n.direct() && n.config.Allowed(config.Probe) && n.config.Allowed(config.LoadAware)
@@ -46,6 +70,9 @@
 
 // measureNow carries out the gate's wish for a reading.
 func (n *Node) measureNow(now time.Time) []Command {
+	if n.mute() {
+		return n.admit(n.gate.Unmeasured(now), now)
+	}
 	n.meter.SetBudget(probeUse*n.cfg.ProbesPerSecond, n.config.Allowed(config.Probe), now)
 	if n.meter.Ask(now) {
 		return []Command{Probe{}}
@@ -58,7 +85,10 @@
 
 // heardOwn takes in what the own upstream says of itself with an answer.
 func (n *Node) heardOwn(reading measure.Reading, now time.Time) []Command {
-	out := n.noteLife(reading.Upstream, now)
+	out := append(n.noteLife(reading.Upstream, now), n.noteMute(reading.PacePercent)...)
+	if reading.PacePercent == 0 {
+		return append(out, n.admit(n.gate.Unmeasured(now), now)...)
+	}
 	out = append(out, n.admit(n.gate.Measured(reading.PacePercent, now), now)...)
 	out = append(out, n.watchPace(now)...)
 	return append(out, n.tellZone(now)...)
