--- a/admit/pace.go
+++ b/admit/pace.go
@@ -9,18 +9,9 @@
 const (
 	// usualPace is the pace of an upstream that nothing slows down, in percent.
 	usualPace = 100
-	// worstUsual is the slowest pace that counts as usual, however long it lasts:
-	// an upstream that is slower than one that has just started is ill, and others
-	// of its service are likely well. It is what is expected of one that has just
-	// started until its pace was read.
-	worstUsual = 250
 	// slowPercent is the pace, in percent of the best of late, from which an
 	// upstream counts as slow.
 	slowPercent = 150
-	// bestSpan is how long the best pace is remembered, once or twice over. It
-	// outlasts a usual slow spell, so that one is told from an upstream that is
-	// slower for longer, as after its start.
-	bestSpan = 400 * time.Millisecond
 	// freshFor is how long a reading of the pace is acted on without another.
 	// The pace changes several times a second.
 	freshFor = 5 * time.Millisecond
@@ -59,14 +50,6 @@
 	cold bool
 }
 
-// first is the best pace to expect before any was read.
-func (p *pace) first() int {
-	if p.cold {
-		return worstUsual
-	}
-	return usualPace
-}
-
 // read takes in a reading.
 func (p *pace) read(percent int, now time.Time) {
 	if percent <= 0 || now.Before(p.at) {
@@ -83,39 +66,6 @@
 	}
 }
 
-// keepBest counts the present reading towards the best of its span.
-func (p *pace) keepBest(now time.Time) {
-	switch age := now.Sub(p.spanFrom); {
-	case p.spanFrom.IsZero():
-		p.best, p.bestBefore, p.spanFrom = p.percent, p.first(), now
-	case age >= 2*bestSpan:
-		p.best, p.bestBefore, p.spanFrom = p.percent, 0, now
-	case age >= bestSpan:
-		p.best, p.bestBefore, p.spanFrom = p.percent, p.best, now
-	}
-	p.best = min(p.best, p.percent)
-}
-
-// usual is the pace that the upstream has when nothing slows it down for a
-// moment: the best of late.
-func (p *pace) usual() int {
-	switch {
-	case p.best == 0:
-		return usualPace
-	case p.bestBefore == 0:
-		return inUsual(p.best)
-	}
-	return inUsual(min(p.best, p.bestBefore))
-}
-
-// inUsual brings a pace into the bounds of what is usual.
-func inUsual(percent int) int { return min(max(percent, usualPace), worstUsual) }
-
-// work is what a request takes when nothing slows the upstream down for a moment.
-func (p *pace) work(req call.Request) time.Duration {
-	return req.Work * time.Duration(p.usual()) / usualPace
-}
-
 func (p *pace) isSlow() bool { return p.percent*usualPace >= slowPercent*p.usual() }
 
 func (p *pace) learn(spell time.Duration) {
--- a/node/direct.go
+++ b/node/direct.go
@@ -103,38 +103,6 @@
 	return out
 }
 
-// rereadEvery is the least time between two questions to the store about the life
-// of the own upstream, which lists itself a moment after its start.
-const rereadEvery = 200 * time.Millisecond
-
-// noteLife takes in the life that the own upstream tells of itself. One that the
-// list does not have yet is asked for: until then requests are refused there.
-func (n *Node) noteLife(told string, now time.Time) []Command {
-	if told == "" {
-		return nil
-	}
-	n.present = told
-	listed := n.view.Self().Upstream
-	if told == listed || now.Sub(n.rereadAt) < rereadEvery {
-		return nil
-	}
-	n.rereadAt = now
-	return []Command{
-		Note{Part: "membership", Text: "The upstream is another than the one listed. The store is asked.", Fields: []any{"listed", listed, "told", told}},
-		RereadStore{},
-	}
-}
-
-// life names the life of the own upstream that a request is for: the one listed,
-// or the one that its sender has from the list, where that is the present one. A
-// sender whose list is older means the same upstream.
-func (n *Node) life(sender string) string {
-	if sender == n.present && sender != "" {
-		return sender
-	}
-	return n.view.Self().Upstream
-}
-
 // forgetGone drops what was learned of instances that are no longer listed.
 func (n *Node) forgetGone() {
 	for _, p := range n.pickers {
--- a/node/pace.go
+++ b/node/pace.go
@@ -1,45 +1,19 @@
 package node
 
 import (
-	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
 	"pomelodoor.example/pomelodoor/admit"
-	"pomelodoor.example/pomelodoor/balance"
-	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/measure"
-	"pomelodoor.example/pomelodoor/membership"
 )
 
 const (
 	// probeUse is the part of the bound on probes that is spent.
 	probeUse = 0.8
-	// paceChange is the factor by which the pace must change before other
-	// daemons are told at once.
-	paceChange = 1.4
-	// smallZone is the number of other daemons in a zone up to which all are told
-	// of the load. In a larger one those are told that sent a request lately: what
-	// the others send next is as likely to come when the pace has changed again.
-	smallZone = 4
-	// callerLife is how long a daemon that sent requests is told of the load,
-	// about two slow spells.
-	callerLife = 500 * time.Millisecond
-	// maxCallers bounds the daemons that are remembered.
-	maxCallers = 64
 	// muteAfter is the number of answers in a row without a pace after which the
 	// upstream is taken to tell none.
 	muteAfter = 3
-	// workWeight is the inverse of the share of one run in a route's work.
-	workWeight = 16
-	// loadChange is the number of calls more or less, and loadGather the least
-	// time, after which the load is told though the pace is the same.
-	loadChange = 2
-	loadGather = 100 * time.Millisecond
-	// minTold is the least time between two reports of the load to others.
-	minTold = 2 * time.Millisecond
 )
 
 // noteMute takes in whether the upstream tells its pace. One that does not, in a
@@ -111,121 +85,6 @@
 	return append(out, n.watchPace(now)...)
 }
 
-// tellZone tells the daemons of its availability zone when the pace changes, and
-// now and then when the load does. The others are told with their answers: links
-// between zones are dear, and one daemon there sends less often than the pace
-// changes.
-func (n *Node) tellZone(now time.Time) []Command {
-	pace, _ := n.gate.Pace()
-	load := n.Load(now)
-	since := now.Sub(n.paceToldAt)
-	calls := load.InFlight + load.Queued
-	moved := max(calls-n.callsTold, n.callsTold-calls) >= loadChange && since >= loadGather
-	if pace == 0 || since < minTold || similar(pace, n.paceTold) && !moved {
-		return nil
-	}
-	n.paceTold, n.callsTold, n.paceToldAt = pace, calls, now
-	text := loadText{Load: string(load.Append(nil))}
-	var out []Command
-	for _, id := range n.listeners(now) {
-		out = append(out, n.send(id, kindLoad, text)...)
-	}
-	return out
-}
-
-// listeners returns the daemons to tell: all of the own availability zone or, in
-// a large one, those that lately sent requests here.
-func (n *Node) listeners(now time.Time) []string {
-	var zone []string
-	for _, r := range n.view.All() {
-		if r.ID != n.self() && r.AvailabilityZone == n.cfg.Self.AvailabilityZone && r.State != membership.Gone {
-			zone = append(zone, r.ID)
-		}
-	}
-	if len(zone) <= smallZone {
-		return zone
-	}
-	return slices.DeleteFunc(zone, func(id string) bool {
-		last, known := n.callers[id]
-		return !known || now.Sub(last) > callerLife
-	})
-}
-
-func similar(a, b int) bool {
-	low, high := float64(min(a, b)), float64(max(a, b))
-	return low > 0 && high < paceChange*low
-}
-
-// remember notes a daemon that sends requests here.
-func (n *Node) remember(from string, now time.Time) {
-	if from == n.self() {
-		return
-	}
-	if _, known := n.callers[from]; !known && len(n.callers) >= maxCallers {
-		maps.DeleteFunc(n.callers, func(_ string, last time.Time) bool { return now.Sub(last) > callerLife })
-		if len(n.callers) >= maxCallers {
-			return
-		}
-	}
-	n.callers[from] = now
-}
-
-// loadHeard takes in the load that another daemon tells of its upstream.
-func (n *Node) loadHeard(from string, body json.RawMessage, now time.Time) {
-	var text loadText
-	if json.Unmarshal(body, &text) != nil {
-		return
-	}
-	load, err := balance.ParseLoad([]byte(text.Load))
-	record, ok := n.view.Lookup(from)
-	if err != nil || !ok {
-		return
-	}
-	if service, ok := n.config.Service(record.Service); ok {
-		n.picker(service).Heard(from, load, now)
-	}
-}
-
-// learnWork lets one run count towards what its route takes at the usual pace.
-func (n *Node) learnWork(run *runState, ran time.Duration) time.Duration {
-	if run.pace == 0 || run.request.Route == "" {
-		return ran
-	}
-	usual := ran * 100 / time.Duration(run.pace)
-	n.worked(run.request.Route, usual)
-	return usual
-}
-
-// worked lets one run at the usual pace count towards its route's work.
-func (n *Node) worked(route string, usual time.Duration) {
-	work, known := n.work[route]
-	switch {
-	case !known && len(n.work) >= maxRoutesLearned:
-		return
-	case !known:
-		work = usual
-	}
-	n.work[route] = work + (usual-work)/workWeight
-}
-
-// workGuess is the part of the time to its target that a request is taken to need
-// while nothing is known of its route.
-const workGuess = 4
-
-// workOf returns what a request is expected to take at the usual pace.
-func (n *Node) workOf(r call.Request, now time.Time) time.Duration {
-	if work, known := n.work[r.Route]; known {
-		return work
-	}
-	if r.Target.IsZero() {
-		return 0
-	}
-	return max(r.Target.Sub(now)/workGuess, 0)
-}
-
-// maxRoutesLearned bounds the routes whose work is remembered.
-const maxRoutesLearned = 1024
-
 // noteCrowding tells the log when slots begin or end to be left free because the
 // upstream is slower when it is nearly full.
 func (n *Node) noteCrowding(now time.Time) []Command {
