daemon: a question to the store that comes just before a call ends it

Cause, found on reading: a restart between the look for one and the begin of a call cancelled the call before, and the new one, a watch of up to 30 s, went on. Change: begin ends a call that a restart has overtaken. Test: TestRestartIsNotLost, whose third case failed before.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -29,11 +29,14 @@
 
 func newFollowing() *following { return &following{hurry: make(chan struct{}, 1)} }
 
-// begin notes a call under way.
+// begin notes a call under way. One that restart has overtaken ends at once.
 func (f *following) begin(cancel context.CancelFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancel = cancel
+	if f.asked {
+		cancel()
+	}
 }
 
 // restart ends the call under way, or the wait, so that the next call shows what
