What was read of a pace does not outlive the upstream's silence

Cause, found on reading: an upstream that told a slow pace and then none (another software at the same place) kept the slow one for ever, and its daemon turned all away: 1 of 40 requests run in the new case of the test. Change: once the upstream is taken to tell none, its pace is the usual one. Test: node TestUpstreamThatTellsNoPaceServes, second case: 37 of 40 (three are turned away while it is found out).

--- a/node/pace.go
+++ b/node/pace.go
@@ -11,6 +11,8 @@
 const (
 	// probeUse is the part of the bound on probes that is spent.
 	probeUse = 0.8
+	// usualPace is the pace of an upstream that nothing slows down, in percent.
+	usualPace = 100
 	// muteAfter is the number of answers in a row without a pace after which the
 	// upstream is taken to tell none.
 	muteAfter = 3
@@ -45,7 +47,8 @@
 // measureNow carries out the gate's wish for a reading.
 func (n *Node) measureNow(now time.Time) []Command {
 	if n.mute() {
-		return n.admit(n.gate.Unmeasured(now), now)
+		// What was read before says nothing of now.
+		return n.admit(n.gate.Measured(usualPace, now), now)
 	}
 	n.meter.SetBudget(probeUse*n.cfg.ProbesPerSecond, n.config.Allowed(config.Probe), now)
 	if n.meter.Ask(now) {
