--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -185,17 +185,17 @@
 	return commands
 }
 
-// Shutdown tells that this daemon leaves, refuses new work, lets what is under way end, and closes the ports.
-// Callers are served until then, so that those who have not heard yet are not
-// cut off.
+// Shutdown tells that this daemon leaves, refuses new work, closes the ports and
+// lets what is under way end. Callers are served until then, so that those who
+// have not heard yet are not cut off; where they go on coming the ports close in
+// time for what runs to end.
 func (d *Daemon) Shutdown() error {
 	d.part("daemon").Info("The daemon is shutting down.")
 	d.leaving.Store(true)
 	d.update(node.Shutdown{})
 	told := time.Now()
-	limit := told.Add(d.settings.maxStop())
-	for now := told; now.Before(limit); now = time.Now() {
-		if now.Sub(told) >= d.settings.drain() {
+	for since := time.Duration(0); since < d.settings.lastDoor(); since = time.Since(told) {
+		if since >= d.settings.drain() {
 			d.update(node.Closing{})
 			if d.Idle() {
 				break
@@ -203,7 +203,8 @@
 		}
 		time.Sleep(idleCheck)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(time.Second))
+	d.update(node.Closing{})
+	ctx, cancel := context.WithDeadline(context.Background(), told.Add(d.settings.maxStop()))
 	defer cancel()
 	d.farewell()
 	err := d.callers.Shutdown(ctx)
@@ -214,7 +215,7 @@
 	if err != nil {
 		return fmt.Errorf("shut down: %w", err)
 	}
-	d.part("daemon").Info("The daemon has stopped.")
+	d.part("daemon").Info("The daemon has stopped.", "tookMs", ms(time.Since(told)))
 	return nil
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -192,6 +192,15 @@
 // stopMargin is left of the time that the platform gives a process to stop.
 const stopMargin = 800 * time.Millisecond
 
+// finishTime is left to what runs once the ports have closed: about as long as
+// callers wait.
+const finishTime = 1500 * time.Millisecond
+
+// lastDoor is when the ports close at the latest.
+func (s *Settings) lastDoor() time.Duration {
+	return max(s.maxStop()-finishTime, s.drain())
+}
+
 func (s *Settings) maxStop() time.Duration {
 	limit := time.Duration(s.MaxStopSeconds * float64(time.Second))
 	if within := s.bounds.StopWithin; within > 0 {
