--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -21,6 +21,7 @@
 
 type demoArgs struct {
 	Daemon   string        `help:"built program of the daemon; empty builds it"`
+	Store    bool          `help:"on the users' platform: daemons read its store, one is killed and the configuration changes"`
 	Direct   bool          `help:"call the workers without any daemon, for comparison"`
 	Rate     float64       `help:"requests a second" default:"150"`
 	Duration time.Duration `help:"how long to call" default:"10s"`
@@ -33,6 +34,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, demoLimit)
 	defer cancel()
+	if a.Store {
+		return a.runOnStore(ctx)
+	}
 	begun := time.Now()
 	fleet, clean, err := a.start(ctx)
 	if err != nil {
--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -102,8 +102,8 @@
 		return false
 	}
 	report, err := soak.Run(ctx, soak.Config{Daemon: path, Logs: logs, Seed: seed, Machines: a.Processes, Length: a.Length})
-	fmt.Printf("seed %d: %d events, %d requests, %d served, %d runs, %d violations\n",
-		seed, len(report.Events), report.Requests, report.Served, report.Runs, len(report.Violations))
+	fmt.Printf("seed %d: %d events, %d requests, %d served, %d told not run, %d runs, %d violations\n",
+		seed, len(report.Events), report.Requests, report.Served, report.Refused, report.Runs, len(report.Violations))
 	if err == nil && len(report.Violations) == 0 {
 		_ = os.RemoveAll(logs)
 		return true
--- a/soak/run.go
+++ b/soak/run.go
@@ -40,15 +40,21 @@
 	// Machines is the number of daemons.
 	Machines int
 	Length   time.Duration
+	// Events are played in place of the seed's plan when they are not nil.
+	Events []Event
 }
 
 // Report is what a run showed.
 type Report struct {
-	Seed       uint64
-	Events     []Event
-	Requests   int
-	Served     int
-	Runs       int
+	Seed     uint64
+	Events   []Event
+	Requests int
+	Served   int
+	// Refused counts what was promised not to have run.
+	Refused int
+	Runs    int
+	// Ready is how long the fleet took until all daemons were ready.
+	Ready      time.Duration
 	Violations []Violation
 }
 
@@ -62,7 +68,11 @@
 		cfg.Length = DefaultLength
 	}
 	h := newHistory()
-	report := Report{Seed: cfg.Seed, Events: Plan(cfg.Seed, cfg.Machines, cfg.Length)}
+	if cfg.Events == nil {
+		cfg.Events = Plan(cfg.Seed, cfg.Machines, cfg.Length)
+	}
+	report := Report{Seed: cfg.Seed, Events: cfg.Events}
+	began := time.Now()
 	f, err := newFleet(cfg, h)
 	if err != nil {
 		f.close()
@@ -72,6 +82,7 @@
 		f.close()
 		return report, err
 	}
+	report.Ready = time.Since(began)
 	f.play(ctx, report.Events)
 	f.close()
 	if err := ctx.Err(); err != nil {
@@ -85,8 +96,11 @@
 	}
 	report.Requests, report.Runs = len(h.exchanges), len(h.runs)
 	for _, e := range h.exchanges {
-		if e.told.Served() {
+		switch {
+		case e.told.Served():
 			report.Served++
+		case e.told.NotRun:
+			report.Refused++
 		}
 	}
 	report.Violations = append(f.violations, h.check()...)
