--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -42,7 +42,8 @@
 	if err := a.check(); err != nil {
 		return err
 	}
-	if a.Logs == "" {
+	made := a.Logs == ""
+	if made {
 		dir, err := os.MkdirTemp("", "pomelodoor-soak")
 		if err != nil {
 			return fmt.Errorf("make a directory for logs: %w", err)
@@ -56,7 +57,13 @@
 	if a.Seed == 0 {
 		a.Seed = rand.Uint64N(1 << 32)
 	}
-	return a.playAll(ctx, path)
+	if err := a.playAll(ctx, path); err != nil {
+		return err
+	}
+	if made {
+		_ = os.RemoveAll(a.Logs)
+	}
+	return nil
 }
 
 // playAll plays the seeds, and returns an error when one of them failed.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -13,8 +13,9 @@
 	"pomelodoor.example/pomelodoor/standin"
 )
 
-// The nets of the machines' addresses on loopback.
 const (
+	// outerNet and innerNet are the second bytes of the machines' addresses on
+	// loopback.
 	outerNet = 77
 	innerNet = 78
 	// readyWithin bounds the start of the fleet.
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -19,7 +19,8 @@
 	restartAfter = 200 * time.Millisecond
 	// stopWithin is when a daemon that was told to stop is killed.
 	stopWithin = 6 * time.Second
-	// maxConnsOfWorker and work describe the upstreams.
+	// workerSlots is how many requests an upstream runs at once, and workerTime
+	// how long each takes.
 	workerSlots = 12
 	workerTime  = 20 * time.Millisecond
 )
