standin: a frozen process has stopped when Freeze returns

The daemon's log shows the order sent on at 32.351 and the pause from 32.352: the signal to stop had been sent before, but a thread ran on for a moment, as nothing waits for a stop on a busy machine. The daemon did right: its caller had not left. Ruled out: the daemon's own pause, which it noticed (4.799 s) and answered unknown. Change: Freeze waits until all threads are stopped, by proc(5); the check is as it was.

--- a/standin/process.go
+++ b/standin/process.go
@@ -90,8 +90,29 @@
 	return nil
 }
 
-// Freeze pauses the process, and Thaw lets it go on.
-func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+// ErrNotFrozen is returned for a process that went on after the signal to stop.
+var ErrNotFrozen = errors.New("process did not freeze")
+
+const (
+	// freezeLimit bounds the wait for a process to stop, and freezePoll is how
+	// often it is looked at.
+	freezeLimit = 2 * time.Second
+	freezePoll  = time.Millisecond
+)
+
+// Freeze pauses the process and waits until it has stopped: on a busy machine its
+// threads may run on for a moment after the signal. Thaw lets it go on.
+func (p *Process) Freeze() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for limit := time.Now().Add(freezeLimit); !frozen(p.Pid()); time.Sleep(freezePoll) {
+		if time.Now().After(limit) {
+			return fmt.Errorf("freeze %s: %w", p.name, ErrNotFrozen)
+		}
+	}
+	return nil
+}
 
 // Thaw lets a frozen process go on.
 func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
