--- a/admit/best.go
+++ b/admit/best.go
@@ -36,7 +36,7 @@
 func (p *pace) usual() int {
 	switch {
 	case p.best == 0:
-		return usualPace
+		return UsualPace
 	case p.bestBefore == 0:
 		return inUsual(p.best)
 	}
@@ -44,11 +44,11 @@
 }
 
 // inUsual brings a pace into the bounds of what is usual.
-func inUsual(percent int) int { return min(max(percent, usualPace), worstUsual) }
+func inUsual(percent int) int { return min(max(percent, UsualPace), worstUsual) }
 
 // work is what a request takes when nothing slows the upstream down for a moment.
 func (p *pace) work(req call.Request) time.Duration {
-	return req.Work * time.Duration(p.usual()) / usualPace
+	return req.Work * time.Duration(p.usual()) / UsualPace
 }
 
 // first is the best pace to expect before any was read.
@@ -56,5 +56,5 @@
 	if p.cold {
 		return worstUsual
 	}
-	return usualPace
+	return UsualPace
 }
--- a/admit/crowd.go
+++ b/admit/crowd.go
@@ -60,17 +60,22 @@
 
 // room returns how many calls the upstream is given at once.
 func (g *Gate) room(now time.Time) int {
-	if g.limits.Easy > 0 && now.Before(g.crowd.until) {
+	if g.sparing(now) {
 		return min(g.limits.Easy, g.limits.Slots)
 	}
 	return g.limits.Slots
 }
 
+// sparing reports whether slots are left free because more calls take longer.
+func (g *Gate) sparing(now time.Time) bool {
+	return g.limits.Easy > 0 && now.Before(g.crowd.until)
+}
+
 // Crowding returns how much longer calls have turned out to take on the nearly
 // full upstream, as a factor, while slots are left free for that; else 0.
 func (g *Gate) Crowding(now time.Time) float64 {
-	if g.limits.Easy == 0 || !now.Before(g.crowd.until) {
-		return 0
+	if g.sparing(now) {
+		return g.crowd.found
 	}
-	return g.crowd.found
+	return 0
 }
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// usualPace is the pace of an upstream that nothing slows down, in percent.
-	usualPace = 100
+	// UsualPace is the pace of an upstream that nothing slows down, in percent.
+	UsualPace = 100
 	// slowPercent is the pace, in percent of the best of late, from which an
 	// upstream counts as slow.
 	slowPercent = 150
@@ -66,7 +66,7 @@
 	}
 }
 
-func (p *pace) isSlow() bool { return p.percent*usualPace >= slowPercent*p.usual() }
+func (p *pace) isSlow() bool { return p.percent*UsualPace >= slowPercent*p.usual() }
 
 func (p *pace) learn(spell time.Duration) {
 	if p.spell == 0 {
@@ -77,7 +77,7 @@
 
 // extra is how much longer than usual a request takes that starts now.
 func (p *pace) extra(req call.Request) time.Duration {
-	return req.Work * time.Duration(p.percent-p.usual()) / usualPace
+	return req.Work * time.Duration(p.percent-p.usual()) / UsualPace
 }
 
 // slow reports whether the last reading, if it is not stale, was slow.
@@ -123,7 +123,7 @@
 	g.pace.asked = time.Time{}
 	g.pace.at = now
 	if g.pace.percent == 0 {
-		g.pace.percent = usualPace
+		g.pace.percent = UsualPace
 	}
 	return append(actions, g.fill(now)...)
 }
--- a/node/pace.go
+++ b/node/pace.go
@@ -11,8 +11,6 @@
 const (
 	// probeUse is the part of the bound on probes that is spent.
 	probeUse = 0.8
-	// usualPace is the pace of an upstream that nothing slows down, in percent.
-	usualPace = 100
 	// muteAfter is the number of answers in a row without a pace after which the
 	// upstream is taken to tell none.
 	muteAfter = 3
@@ -48,7 +46,7 @@
 func (n *Node) measureNow(now time.Time) []Command {
 	if n.mute() {
 		// What was read before says nothing of now.
-		return n.admit(n.gate.Measured(usualPace, now), now)
+		return n.admit(n.gate.Measured(admit.UsualPace, now), now)
 	}
 	n.meter.SetBudget(probeUse*n.cfg.ProbesPerSecond, n.config.Allowed(config.Probe), now)
 	if n.meter.Ask(now) {
--- a/node/work.go
+++ b/node/work.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/call"
 )
 
@@ -14,7 +15,7 @@
 	if run.pace == 0 || run.request.Route == "" {
 		return ran
 	}
-	usual := ran * 100 / time.Duration(run.pace)
+	usual := ran * admit.UsualPace / time.Duration(run.pace)
 	n.worked(run.request.Route, usual)
 	return usual
 }
