A daemon that gets no answer from the store takes a neighbour's copy

Ruled out: a file (no disk), and taking the first copy for the fleet's word: a neighbour may have lost the store before the last change and not know it, so automatic actions begin only once three neighbours, or all that are known, have shown theirs. Asking a neighbour at every start: most starts are answered in 4 ms.

Change: follow decides when to ask (100 ms after the first call, 300 ms for a daemon that has a copy, then less and less often), takes a copy only if its revision is newer, passes over a list that left the store before it, and lists the store all the same once it answers.

--- a/call/header.go
+++ b/call/header.go
@@ -24,4 +24,7 @@
 const (
 	HeaderForward = "Pomelodoor-Forward"
 	HeaderAnswer  = "Pomelodoor-Answer"
+	// HeaderCopy asks another daemon for its copy of the store. It holds the
+	// store's revision that the asking one knows; an older copy is not sent.
+	HeaderCopy = "Pomelodoor-Copy"
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -71,6 +71,8 @@
 	registry  *registry.Client
 	store     *platform.Client
 	following *following
+	held      *heldCopy
+	lending   lending
 	dialect   ingress.Dialect
 	control   *peer.Endpoint
 
@@ -151,6 +153,7 @@
 	}
 	d.burn = burn.New(burn.Config{Instance: settings.Instance, Level: d.level})
 	d.metrics = newMetrics(d)
+	d.held = newHeldCopy(d)
 	return d
 }
 
@@ -276,6 +279,7 @@
 		select {
 		case <-ticker.C:
 			d.update(node.Tick{})
+			d.askNeighbours(time.Now())
 		case <-d.ctx.Done():
 			return
 		}
--- /dev/null
+++ b/daemon/held.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pomelodoor.example/pomelodoor/follow"
+	"pomelodoor.example/pomelodoor/node"
+)
+
+// heldCopy is the copy of the store, and what passes its changes on to the node.
+// The call to the store, and neighbours that ask or lend, come to it by turns.
+type heldCopy struct {
+	mu        sync.Mutex
+	f         *follow.Follower
+	documents *documentFeed
+	upstreams *upstreamFeed
+	// answeredAt is when the store last answered, here or at the daemon that
+	// lent the copy.
+	answeredAt time.Time
+	// complete is whether the node knows that it has all documents.
+	complete bool
+	others   func() int
+	finish   func()
+}
+
+func newHeldCopy(d *Daemon) *heldCopy {
+	return &heldCopy{
+		f:         follow.New(follow.Config{Rand: rand.Uint64, Gather: d.settings.gather()}),
+		documents: &documentFeed{d: d, seen: map[string]uint64{}},
+		upstreams: &upstreamFeed{d: d, ports: d.ports(), read: map[string]readUpstream{}},
+		others:    d.others,
+		finish:    func() { d.update(node.DocumentsComplete{}) },
+	}
+}
+
+// take lets the copy take something in, and passes on what that has changed. It
+// returns what change reports.
+func (h *heldCopy) take(change func(*follow.Follower) bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changed := change(h.f)
+	if changed {
+		h.documents.feed(h.f)
+		h.upstreams.feed(h.f, time.Now())
+	}
+	if !h.complete && h.f.Certain(h.others()) {
+		h.complete = true
+		h.finish()
+	}
+	return changed
+}
+
+// answered lets the copy take in an answer of the store.
+func (h *heldCopy) answered(change func(f *follow.Follower, now time.Time) bool) {
+	now := time.Now()
+	h.take(func(f *follow.Follower) bool {
+		h.answeredAt = now
+		return change(f, now)
+	})
+}
+
+// lent lets the copy take in that of a neighbour, which is age old. It returns the
+// revision held before, and whether the copy was taken.
+func (h *heldCopy) lent(c follow.Copy, from string, age time.Duration) (before uint64, taken bool) {
+	now := time.Now()
+	taken = h.take(func(f *follow.Follower) bool {
+		before = f.Revision()
+		if !f.Lent(c, from) {
+			return false
+		}
+		h.answeredAt = now.Add(-age)
+		return true
+	})
+	return before, taken
+}
+
+// lend returns the copy and its age, or false if it is not newer than a revision.
+func (h *heldCopy) lend(than uint64) (c follow.Copy, age time.Duration, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.f.Revision() <= than {
+		return follow.Copy{}, 0, false
+	}
+	return h.f.Lend(), time.Since(h.answeredAt), true
+}
+
+func (h *heldCopy) hurry() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.f.Hurry()
+}
+
+// next returns the next call to make, and whether the last one failed.
+func (h *heldCopy) next(now time.Time) (action follow.Action, troubled bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.f.Next(now), h.f.Troubled()
+}
+
+// ask reports whether a neighbour is to be asked now, and what is held.
+func (h *heldCopy) ask(now time.Time) (revision uint64, due bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.f.Revision(), h.f.Ask(now)
+}
+
+func (h *heldCopy) revision() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.f.Revision()
+}
+
+func (h *heldCopy) troubled() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.f.Troubled()
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,6 +18,9 @@
 	// handedOn counts requests passed to a sibling before they ran.
 	handedOn expvar.Int
 	probes   expvar.Int
+	// borrowed counts the copies of the store taken from neighbours, lent those
+	// given to them.
+	borrowed, lent expvar.Int
 	// latencies are the times until callers were answered.
 	latencies *latencies
 }
@@ -41,6 +44,8 @@
 	m.vars.Set("furtherAttempts", &m.further)
 	m.vars.Set("handedOn", &m.handedOn)
 	m.vars.Set("probes", &m.probes)
+	m.vars.Set("copiesBorrowed", &m.borrowed)
+	m.vars.Set("copiesLent", &m.lent)
 	m.vars.Set("controlBytesOut", expvar.Func(func() any { return d.control.BytesOut() }))
 	m.vars.Set("controlBytesIn", expvar.Func(func() any { return d.control.BytesIn() }))
 	m.vars.Set("controlDropped", expvar.Func(func() any { return d.control.Dropped() }))
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -25,6 +25,10 @@
 
 // servePeer takes a request that another daemon has forwarded.
 func (d *Daemon) servePeer(ctx *fasthttp.RequestCtx) {
+	if known := ctx.Request.Header.Peek(call.HeaderCopy); known != nil {
+		d.serveCopy(ctx, known)
+		return
+	}
 	now := time.Now()
 	f, err := ingress.ParseForwarded(ctx, d.dialect, now)
 	if err != nil {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -31,6 +31,7 @@
 	Upstream         string   `arg:"--upstream,required,env:POMELODOOR_UPSTREAM" help:"IP:PORT of the upstream beside this daemon"`
 	Platform         []string `arg:"--platform,env:POMELODOOR_PLATFORM" help:"IP:PORT of the registry of documents and instances; several are tried in turn"`
 	Store            string   `arg:"--store,env:POMELODOOR_STORE" help:"IP:PORT of the users' store, in place of --platform"`
+	Seeds            []string `arg:"--seeds,env:POMELODOOR_SEEDS" help:"IP:PORT of the control ports of some daemons, to be asked for their copy of the store while it does not answer"`
 	Ready            string   `arg:"--ready,env:POMELODOOR_READY" help:"IP:PORT of HTTP that answers 200 while this daemon takes callers"`
 	Bounds           string   `arg:"--bounds,env:POMELODOOR_BOUNDS" help:"what the users' platform asks of the process, as a JSON object"`
 	Assume           []string `arg:"--assume,env:POMELODOOR_ASSUME" help:"actions allowed while the users' store holds no switches document"`
@@ -46,6 +47,18 @@
 // direct reports whether the daemon reads the users' store.
 func (s *Settings) direct() bool { return s.Store != "" }
 
+// seeds returns where the seeds other than this daemon take requests of daemons.
+// Check has accepted their addresses.
+func (s *Settings) seeds() []string {
+	var out []string
+	for _, control := range s.Seeds {
+		if control != s.Control {
+			out = append(out, platform.PeerOf(control, s.Peer))
+		}
+	}
+	return out
+}
+
 // assumed returns the actions of Assume. Check has accepted them.
 func (s *Settings) assumed() []config.Action {
 	var actions []config.Action
@@ -135,6 +148,14 @@
 			fault(flag, fmt.Sprintf("%q is not IP:PORT", address))
 		}
 	}
+	for _, address := range s.Seeds {
+		if !isAddress(address) {
+			fault("seeds", fmt.Sprintf("%q is not IP:PORT", address))
+		}
+	}
+	if len(s.Seeds) > 0 && s.Store == "" {
+		fault("seeds", "stands without --store")
+	}
 	for _, name := range s.Assume {
 		if !slices.Contains(config.Actions(), config.Action(name)) {
 			fault("assume", fmt.Sprintf("%q is no action", name))
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -87,6 +87,16 @@
 	revision uint64 // from which to watch
 	first    uint64 // revision of the first page of the list under way
 
+	everListed bool
+	// lenders are the neighbours that have shown their copy.
+	lenders map[string]bool
+	// lent is the revision of a neighbour's copy that no list has confirmed.
+	lent uint64
+	// unanswered is since when the store has left a list without an answer.
+	unanswered time.Time
+	askAt      time.Time
+	askPause   time.Duration
+
 	failures  int
 	notBefore time.Time
 	// troubleUntil is until when a key's absence may be due to trouble.
@@ -105,7 +115,7 @@
 	if cfg.KeepFor == 0 {
 		cfg.KeepFor = DefaultKeepFor
 	}
-	return &Follower{cfg: cfg, items: map[string]Item{}, kept: map[string]time.Time{}}
+	return &Follower{cfg: cfg, items: map[string]Item{}, kept: map[string]time.Time{}, lenders: map[string]bool{}}
 }
 
 // Next says what to do now. While a List or a Watch is under way it must not be
@@ -115,6 +125,7 @@
 		return Action{Kind: Wait, At: f.notBefore}
 	}
 	if !f.listed || f.listing != nil {
+		f.expectAnswer(now)
 		return Action{Kind: List, After: f.after}
 	}
 	wait := f.cfg.WatchFor
@@ -138,7 +149,13 @@
 	if page.More && len(page.Items) > 0 {
 		return false
 	}
+	if f.first < f.lent {
+		// The answer left the store before what a neighbour has shown since.
+		f.lent, f.listing, f.after = 0, nil, ""
+		return false
+	}
 	f.replace(f.listing, now)
+	f.lent, f.everListed = 0, true
 	f.listed, f.listing, f.after, f.revision = true, nil, "", f.first
 	return true
 }
@@ -147,10 +164,11 @@
 // copy has changed.
 func (f *Follower) Watched(changes []Item, asOf uint64, now time.Time) bool {
 	f.answered(now)
+	held := f.revision
 	f.revision = max(f.revision, asOf)
 	changed := f.expire(now)
 	for _, item := range changes {
-		if item.Revision <= f.items[item.Key].Revision {
+		if item.Revision <= max(held, f.items[item.Key].Revision) {
 			continue
 		}
 		changed = true
@@ -193,6 +211,7 @@
 	}
 	f.notBefore = now.Add(backoff)
 	f.listed, f.listing, f.after = false, nil, ""
+	f.expectAnswer(now)
 }
 
 // Items returns the copy. It must not be changed, and is good until the next
@@ -216,6 +235,7 @@
 		f.troubleUntil = now.Add(f.cfg.KeepFor)
 	}
 	f.failures = 0
+	f.unanswered = time.Time{}
 }
 
 // replace puts a whole list in place of the copy.
--- /dev/null
+++ b/follow/message_test.go
@@ -0,0 +1,46 @@
+package follow_test
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"pomelodoor.example/pomelodoor/follow"
+)
+
+func TestCopyMessage(t *testing.T) {
+	want := follow.Copy{Revision: 9, Items: []follow.Item{item("a", 3), {Key: "b/Ω", Value: []byte{0, 255}, Revision: 12}}}
+	text, err := follow.EncodeCopy(want, 1500*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, age, err := follow.DecodeCopy(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) || age != 1500*time.Millisecond {
+		t.Fatalf("got %+v, age %s", got, age)
+	}
+}
+
+func TestDecodeCopyRefuses(t *testing.T) {
+	tests := map[string]string{
+		"nothing":                "",
+		"no JSON":                "<html>",
+		"cut short":              `{"revision":9,"items":[{"key":"a"`,
+		"no revision":            `{"items":[]}`,
+		"a negative revision":    `{"revision":-1,"items":[]}`,
+		"a negative age":         `{"revision":9,"ageMs":-1}`,
+		"an item without a key":  `{"revision":9,"items":[{"revision":3}]}`,
+		"an item of no revision": `{"revision":9,"items":[{"key":"a"}]}`,
+		"a value of other type":  `{"revision":9,"items":[{"key":"a","value":{},"revision":3}]}`,
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, _, err := follow.DecodeCopy([]byte(text)); !errors.Is(err, follow.ErrCopy) {
+				t.Fatalf("error %v, want ErrCopy", err)
+			}
+		})
+	}
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -153,3 +153,18 @@
 	out := []Command{Note{Part: "config", Text: text}}
 	return append(out, n.limits(now)...)
 }
+
+// Others returns how many other daemons are known.
+func (n *Node) Others() int { return n.view.PeerCount() }
+
+// Lender returns a daemon whose copy of the store may be newer, or false if no
+// other is known. Every second one is from anywhere: a whole zone may have lost
+// the store.
+func (n *Node) Lender(try int) (membership.Instance, bool) {
+	near := n.view.Neighbours()
+	if try%2 == 0 && len(near) > 0 {
+		return near[n.cfg.Rand()%uint64(len(near))].Instance, true
+	}
+	r, ok := n.view.Other(n.cfg.Rand())
+	return r.Instance, ok
+}
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -17,6 +17,8 @@
 const (
 	// restartAfter is how long after its end a daemon is started again.
 	restartAfter = 200 * time.Millisecond
+	// seedMachines is how many daemons every daemon is told of at its start.
+	seedMachines = 3
 	// stopWithin is when a daemon that was told to stop is killed.
 	stopWithin = 6 * time.Second
 	// workerSlots is how many requests an upstream runs at once, and workerTime
@@ -170,14 +172,18 @@
 
 func (m *machine) args() []string {
 	p, f := m.fleet.ports, m.fleet
-	return []string{
+	args := []string{
 		"run", "--instance", m.name(), "--service", m.service, "--availability-zone", m.zone, "--region", "north",
 		"--listen", at(m.outer, p.listen), "--peer", at(m.outer, p.peer), "--control", at(m.outer, p.control),
 		"--admin", at(m.outer, p.admin), "--ready", at(m.outer, p.ready), "--bind", m.inner,
 		"--upstream", at(m.outer, p.worker), "--store", m.door.Addr(), "--bounds", platformtest.Bounds,
 		"--assume", "retry", "eject", "spillOver", "handOn", "shed", "slowStart", "quarantine", "loadAware", "probe",
-		"--log-format", "json", "--drain-seconds", "1", "--fleet-size", strconv.Itoa(f.cfg.Machines),
+		"--log-format", "json", "--drain-seconds", "1", "--fleet-size", strconv.Itoa(f.cfg.Machines), "--seeds",
 	}
+	for _, seed := range f.machines[:min(seedMachines, len(f.machines))] {
+		args = append(args, at(seed.outer, p.control))
+	}
+	return args
 }
 
 // signal sends a signal to the daemon, if there is one. end is true for a signal
