A watch that a silent store has swallowed is given up

Ruled out: TCP keep-alive and user time-outs (the store's machine goes on acknowledging bytes); a list after each silence (nothing shows that there was one); short watches alone (2,800 daemons at 1.5 s are 1,900 calls a second).

The watches of a large fleet end in turn, and daemons tell each other on requests and answers which revision they hold: one whose watch has shown nothing 400 ms after others went ahead gives it up, and asks a neighbour if the store does not answer then either.

The soak's stores swallow calls too.

--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -58,6 +58,7 @@
 
 // sendPeer makes one attempt through another daemon.
 func (d *Daemon) sendPeer(ctx context.Context, address string, f ingress.Forwarded, req *fasthttp.Request) *answer {
+	f.Revision = d.held.known.Load()
 	ingress.WriteForwarded(&req.Header, f, time.Now())
 	resp := fasthttp.AcquireResponse()
 	if err := d.peers.get(address).Do(ctx, req, resp); err != nil {
@@ -68,7 +69,10 @@
 			Unreachable: reason == call.ConnectFailed,
 		}}
 	}
-	a := &answer{response: resp, result: readResult(resp, f.Target)}
+	a := &answer{response: resp}
+	var revision uint64
+	a.result, revision = readResult(resp, f.Target)
+	d.hear(revision, f.Target)
 	if len(resp.Header.Peek(call.HeaderOutcome)) == 0 && req.MayContinue() && !bodyTaken(req) {
 		// The other daemon refused before it was sent the body.
 		a.result = node.Attempt{Outcome: call.NotRun, Reason: call.Overloaded}
@@ -86,8 +90,9 @@
 }
 
 // readResult reads what the other daemon says became of the request. An answer
-// that is not from the daemon meant is worth nothing.
-func readResult(resp *fasthttp.Response, target string) node.Attempt {
+// that is not from the daemon meant is worth nothing. It returns the store's
+// revision that the other holds, too.
+func readResult(resp *fasthttp.Response, target string) (node.Attempt, uint64) {
 	h := &resp.Header
 	result := node.Attempt{
 		Outcome:  call.Outcome(h.Peek(call.HeaderOutcome)),
@@ -98,11 +103,11 @@
 	known := result.Outcome == call.Run || result.Outcome == call.NotRun || result.Outcome == call.Unknown
 	report, err := ingress.ReadReport(h)
 	if !known || err != nil || report.From != target && result.Reason != call.WrongIncarnation {
-		return node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost}
+		return node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost}, 0
 	}
 	result.Load, result.HasLoad = report.Load, report.HasLoad
 	result.Spent, result.Work = report.Spent, report.Work
-	return result
+	return result, report.Revision
 }
 
 // failure says what an exchange that failed proves about the request.
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -83,6 +83,7 @@
 			d.following.wait(d.ctx, action.At.Sub(now))
 			continue
 		}
+		action.For = min(action.For, follow.WatchFor(d.others()+1))
 		if reread {
 			action.For = 0
 		}
@@ -99,6 +100,17 @@
 	}
 }
 
+// hear takes in the store's revision that another daemon holds. If the watch under
+// way has shown nothing of it, it is given up: the store may never answer it.
+func (d *Daemon) hear(revision uint64, from string) {
+	if !d.held.heard(revision, time.Now()) {
+		return
+	}
+	d.part("store").Warn("Others know later changes of the store. The watch is given up.", "from", from,
+		"theirs", revision, "revision", d.held.known.Load())
+	d.following.restart()
+}
+
 // readStore makes one call and lets the follower take it in.
 func (d *Daemon) readStore(action follow.Action) error {
 	ctx, cancel := context.WithCancel(d.ctx)
@@ -120,7 +132,7 @@
 			f.Dropped(now)
 			return false
 		})
-		d.part("store").Info("The store has dropped its history, all is read again.", "revision", d.held.revision())
+		d.part("store").Info("The store has dropped its history, all is read again.", "revision", d.held.known.Load())
 		return nil
 	case err != nil:
 		d.readFailed(ctx)
@@ -144,9 +156,9 @@
 func (d *Daemon) noteStore(before bool, err error) {
 	switch after := d.held.troubled(); {
 	case after && !before:
-		d.part("store").Warn("The store is lost.", "revision", d.held.revision(), "error", err)
+		d.part("store").Warn("The store is lost.", "revision", d.held.known.Load(), "error", err)
 	case before && !after:
-		d.part("store").Info("The store is back.", "revision", d.held.revision())
+		d.part("store").Info("The store is back.", "revision", d.held.known.Load())
 	}
 }
 
--- a/daemon/held.go
+++ b/daemon/held.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pomelodoor.example/pomelodoor/follow"
@@ -12,6 +13,9 @@
 // heldCopy is the copy of the store, and what passes its changes on to the node.
 // The call to the store, and neighbours that ask or lend, come to it by turns.
 type heldCopy struct {
+	// known is the revision of the copy, for readers that must not wait.
+	known atomic.Uint64
+
 	mu        sync.Mutex
 	f         *follow.Follower
 	documents *documentFeed
@@ -41,6 +45,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changed := change(h.f)
+	h.known.Store(h.f.Revision())
 	if changed {
 		h.documents.feed(h.f)
 		h.upstreams.feed(h.f, time.Now())
@@ -76,6 +81,17 @@
 	return before, taken
 }
 
+// heard takes in the revision that another daemon holds, and reports whether the
+// watch under way is to be given up.
+func (h *heldCopy) heard(revision uint64, now time.Time) bool {
+	if revision <= h.known.Load() {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.f.Heard(revision, now)
+}
+
 // lend returns the copy and its age, or false if it is not newer than a revision.
 func (h *heldCopy) lend(than uint64) (c follow.Copy, age time.Duration, ok bool) {
 	h.mu.Lock()
@@ -106,12 +122,6 @@
 	return h.f.Revision(), h.f.Ask(now)
 }
 
-func (h *heldCopy) revision() uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.f.Revision()
-}
-
 func (h *heldCopy) troubled() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -35,6 +35,7 @@
 		d.refuseRequest(ctx, err)
 		return
 	}
+	d.hear(f.Revision, f.From)
 	body, err := ingress.ReadBody(ctx, maxCallerBody)
 	if err != nil {
 		d.refuseRequest(ctx, err)
@@ -72,7 +73,7 @@
 func (d *Daemon) writeOwn(ctx *fasthttp.RequestCtx, a *answer, since time.Time) {
 	ingress.WriteReport(&ctx.Response.Header, ingress.Report{
 		From: d.self.ID, Load: a.result.Load, HasLoad: a.result.HasLoad,
-		Spent: time.Since(since), Work: a.result.Work,
+		Spent: time.Since(since), Work: a.result.Work, Revision: d.held.known.Load(),
 	})
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,8 +6,8 @@
 
 // Defaults of Config.
 const (
-	// DefaultWatchFor is how long one watch waits, so that a quiet store costs
-	// few calls.
+	// DefaultWatchFor is how long one watch waits where nothing else is said, so
+	// that a quiet store costs few calls.
 	DefaultWatchFor = 30 * time.Second
 	// DefaultGather is how long a watch is put off after a change, so that
 	// changes that come together cost one call.
@@ -96,6 +96,11 @@
 	unanswered time.Time
 	askAt      time.Time
 	askPause   time.Duration
+	// aheadSince is since when others are known to hold a later revision, while
+	// the watch under way has shown nothing.
+	aheadSince time.Time
+	// doubted is whether that watch has been given up for it.
+	doubted bool
 
 	failures  int
 	notBefore time.Time
@@ -204,6 +209,7 @@
 // at once when the store is back.
 func (f *Follower) Failed(now time.Time) {
 	f.inTrouble = true
+	f.aheadSince, f.doubted = time.Time{}, false
 	f.failures++
 	backoff := min(firstBackoff<<min(f.failures-1, 8), lastBackoff)
 	if f.cfg.Rand != nil {
@@ -236,6 +242,7 @@
 	}
 	f.failures = 0
 	f.unanswered = time.Time{}
+	f.aheadSince, f.doubted = time.Time{}, false
 }
 
 // replace puts a whole list in place of the copy.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -27,6 +27,7 @@
 	fieldGoalMs      = "g"
 	fieldPatient     = "w"
 	fieldGranted     = "k"
+	fieldRevision    = "v"
 )
 
 // ParseForwarded reads a request that another daemon has sent on. dialect is
@@ -69,16 +70,20 @@
 		}
 		r.Target = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	hops, err := whole(fields, fieldHops)
-	if err != nil {
-		return err
+	var hops uint64
+	for _, n := range []struct {
+		name  string
+		value *uint64
+	}{
+		{fieldHops, &hops}, {fieldIncarnation, &f.Incarnation}, {fieldFingerprint, &r.Fingerprint}, {fieldRevision, &f.Revision},
+	} {
+		var err error
+		if *n.value, err = whole(fields, n.name); err != nil {
+			return fmt.Errorf("%w: %s: %w", ErrRequest, call.HeaderForward, err)
+		}
 	}
 	r.Hops = int(min(hops, maxAttempt))
-	if f.Incarnation, err = whole(fields, fieldIncarnation); err != nil {
-		return err
-	}
-	r.Fingerprint, err = whole(fields, fieldFingerprint)
-	return err
+	return nil
 }
 
 // whole reads a whole number; 0 when it is left out.
@@ -89,7 +94,7 @@
 	}
 	n, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("%w: field %s of %s is not a whole number", ErrRequest, name, call.HeaderForward)
+		return 0, fmt.Errorf("field %s: %w", name, err)
 	}
 	return n, nil
 }
@@ -115,6 +120,7 @@
 	}
 	w.flag(fieldPatient, r.Patient)
 	w.flag(fieldGranted, r.Granted)
+	w.number(fieldRevision, f.Revision)
 	h.SetBytesV(call.HeaderForward, w.line)
 	h.Set(call.HeaderCall, r.ID)
 	WriteOnward(h, r, now)
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -21,6 +21,7 @@
 		name := rapid.StringMatching(`[ -~]{0,20}`)
 		sent := ingress.Forwarded{
 			From: name.Draw(t, "from"), Target: name.Draw(t, "target"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+			Revision: rapid.Uint64().Draw(t, "revision"),
 		}
 		sent.Request = call.Request{
 			ID: "c1", Service: rapid.StringMatching(`[a-z]{1,9}`).Draw(t, "service"), Host: "host.example", Path: "/p", Method: "GET",
@@ -52,6 +53,7 @@
 		"hops":        "h=two",
 		"incarnation": "i=-1",
 		"fingerprint": "x=1.5",
+		"revision":    "v=x",
 		"goal":        "g=soon",
 		"escape":      "f=%zz",
 	}
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -16,7 +16,8 @@
 // ErrReport means that an answer does not come from a daemon.
 var ErrReport = errors.New("ingress: no report of a daemon")
 
-// The fields of call.HeaderAnswer.
+// The fields of call.HeaderAnswer, beside those that it shares with
+// call.HeaderForward.
 const (
 	fieldLoad    = "l"
 	fieldSpentUs = "d"
@@ -36,6 +37,9 @@
 	// Work is how long the run took at the upstream's usual pace; 0 when there
 	// was none.
 	Work time.Duration
+	// Revision is the store's revision that the daemon holds; 0 when it reads
+	// none.
+	Revision uint64
 }
 
 // WriteReport puts a report onto an answer.
@@ -47,6 +51,7 @@
 	}
 	w.number(fieldSpentUs, uint64(max(r.Spent.Microseconds(), 0)))
 	w.number(fieldWorkUs, uint64(max(r.Work.Microseconds(), 0)))
+	w.number(fieldRevision, r.Revision)
 	h.SetBytesV(call.HeaderAnswer, w.line)
 }
 
@@ -66,8 +71,13 @@
 	if r.Spent, err = microseconds(fields, fieldSpentUs); err != nil {
 		return Report{}, err
 	}
-	r.Work, err = microseconds(fields, fieldWorkUs)
-	return r, err
+	if r.Work, err = microseconds(fields, fieldWorkUs); err != nil {
+		return Report{}, err
+	}
+	if r.Revision, err = whole(fields, fieldRevision); err != nil {
+		return Report{}, fmt.Errorf("%w: %w", ErrReport, err)
+	}
+	return r, nil
 }
 
 func microseconds(fields url.Values, name string) (time.Duration, error) {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -32,6 +32,9 @@
 	// 0 when the sender does not know it.
 	Target      string
 	Incarnation uint64
+	// Revision is the store's revision that the sender holds; 0 when it reads
+	// none.
+	Revision uint64
 }
 
 // ParseCaller reads a caller's request in its dialect. The fields that need
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -87,7 +87,7 @@
 }
 
 var troubles = []platformtest.Trouble{
-	platformtest.Refuse, platformtest.Limit, platformtest.Reset, platformtest.Silent, platformtest.Slow,
+	platformtest.Refuse, platformtest.Limit, platformtest.Reset, platformtest.Silent, platformtest.Swallow, platformtest.Slow,
 }
 
 var illnesses = []platformtest.Illness{
