node: a life that is never listed is asked for less and less

Cause: an upstream that tells a life which the list does not have makes its daemon ask the store at every reading, up to five times a second, for as long as it lasts (found on reading the code). Change: the pause doubles from 200 ms to 5 s, and starts anew once the life is listed or another is told.

--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -362,6 +362,33 @@
 
 // TestLoadIsToldToThoseThatSend: in a large zone the load is told to daemons that
 // sent a request lately, in a small one to all.
+// TestUnlistedLifeIsAskedForLessAndLess: an upstream whose life is never listed
+// costs the store few calls, and one that is listed soon is asked for at once.
+func TestUnlistedLifeIsAskedForLessAndLess(t *testing.T) {
+	l := directNode(t, config.LoadAware, config.Probe, config.Shed)
+	l.routes(1, onlyFaults)
+	l.list("self:2", "b:2")
+	tell := func(life string) bool {
+		out := l.do(node.ProbeEnded{Reading: measure.Reading{PacePercent: 100, Upstream: life}})
+		return find(out, node.RereadStore{}) != nil
+	}
+	asked := 0
+	for range 600 {
+		l.after(100 * time.Millisecond)
+		if tell("i-never") {
+			asked++
+		}
+	}
+	if asked < 8 || asked > 18 {
+		t.Errorf("asked %d times in a minute, want every 5 s in the end", asked)
+	}
+	tell("i-self:2")
+	l.after(time.Second)
+	if !tell("i-next") {
+		t.Error("the next life is not asked for at once")
+	}
+}
+
 func TestLoadIsToldToThoseThatSend(t *testing.T) {
 	tests := map[string]struct {
 		others int
--- a/node/node.go
+++ b/node/node.go
@@ -110,6 +110,8 @@
 	// when the store was last asked for it.
 	present  string
 	rereadAt time.Time
+	// rereadPause is the least time until the next question.
+	rereadPause time.Duration
 	// paceless is the number of answers of the own upstream in a row that did not
 	// tell its pace.
 	paceless int
