--- a/follow/doc.go
+++ b/follow/doc.go
@@ -6,6 +6,10 @@
 // passed over. When the store has dropped the history that a watch asks for, all
 // is listed again and the copy replaced as a whole.
 //
+// A daemon that the store leaves without an answer asks others for their copies.
+// Copies are ordered by the store's revision. Daemons tell each other theirs, so
+// that one whose watch was lost notices.
+//
 // Keys that went while the store was in trouble are kept for a while after its
 // return: their writers may just not have reached it.
 //
