balance: how long the way to a machine takes counts in the choice

One machine (10 Mbit/s, side-prairie-b-17) lost 278 of the 823 sent to it: between sending and the start of the run half took over 430 ms in seconds 22 to 25, 10 to 30 ms elsewhere. Its upstream was idle half of the time and said so, so it was chosen again and again.

Ruled out: a slow upstream (pace 100), its queue (running at most 8 of 8, waits are in the daemon's own line), a dead connection (the answers came, late).

Change: what a request and its answer took beyond the time that the other daemon says it spent, less the shortest to that zone, is followed for each upstream for 1.5 s and added to its cost, from 20 ms up. Tests: balance TestPickByPace, four cases; the first failed before.

--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -14,6 +14,13 @@
 	heard := func(id string, pace int) func(*Picker) {
 		return func(p *Picker) { p.Heard(id, Load{State: Serving, Slots: 12, Pace: pace}, start) }
 	}
+	late := func(id string, times int) func(*Picker) {
+		return func(p *Picker) {
+			for range times {
+				p.Way(id, 200*time.Millisecond, start)
+			}
+		}
+	}
 	tests := map[string]struct {
 		know  []func(*Picker)
 		work  time.Duration
@@ -33,6 +40,14 @@
 				p.Worked("near", 8, start)
 			}
 		}}, work: 100 * time.Millisecond, far: true},
+		"the way near is choked": {know: []func(*Picker){heard("near", 100), heard("far", 100), late("near", 10)},
+			work: 30 * time.Millisecond, far: true},
+		"one answer from near was late": {know: []func(*Picker){heard("near", 100), heard("far", 100), late("near", 1)},
+			work: 30 * time.Millisecond, after: 3 * time.Second},
+		"the way near was choked": {know: []func(*Picker){heard("near", 100), heard("far", 100), late("near", 10)},
+			work: 30 * time.Millisecond, after: 5 * time.Second},
+		"both ways are choked": {know: []func(*Picker){heard("near", 100), heard("far", 100), late("near", 10), late("far", 10)},
+			work: 30 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -122,6 +122,8 @@
 		// Nothing is left to guess.
 		cost = mean
 	}
+	way := u.wayCost(k.now)
+	cost, mean = cost+way, mean+way
 	if candidate.Zone == p.config.SelfZone {
 		k.local.take(i, g, cost, mean)
 		return
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -130,6 +130,12 @@
 	p.upstream(id).worked(min(max(factor, 1/maxFactor), maxFactor), now)
 }
 
+// Way counts how much longer than usual a request and its answer were on the way
+// to an upstream and back: the link of its machine may be full.
+func (p *Picker) Way(id string, excess time.Duration, now time.Time) {
+	p.upstream(id).onWay(float64(excess), now)
+}
+
 // Heard takes a load report about the upstream. Reports may come late, twice
 // and out of order.
 func (p *Picker) Heard(id string, load Load, now time.Time) {
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -40,8 +40,12 @@
 	own         Estimate  // of the calls sent from here
 	// factor is how much longer than elsewhere calls take, as of factorAt; 0
 	// when not known.
-	factor    float64
-	factorAt  time.Time
+	factor   float64
+	factorAt time.Time
+	// way is how much longer than usual the way takes, in nanoseconds, as of
+	// wayAt.
+	way       float64
+	wayAt     time.Time
 	started   []time.Time
 	load      Load
 	measured  time.Time // when load was true; zero when nothing was heard
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -260,7 +260,9 @@
 func (n *Node) learn(c *callState, a attempt, r Attempt, now time.Time) {
 	picker := n.picker(c.service)
 	if r.Spent > 0 && a.target != n.self() {
-		n.links.observe(a.zone, r.Latency-r.Spent)
+		trip := r.Latency - r.Spent
+		n.links.observe(a.zone, trip)
+		picker.Way(a.target, max(trip-n.links.least(a.zone), 0), now)
 	}
 	if work := n.work[c.request.Route]; r.Work > 0 && c.route != nil {
 		if work > 0 {
--- a/node/links.go
+++ b/node/links.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// least returns the shortest round trip to a zone of late.
+func (l *links) least(zone string) time.Duration {
+	if z := l.zones[zone]; z != nil {
+		return z.current
+	}
+	return 0
+}
+
 // perKilobyte is the time that a kilobyte sent to another availability zone
 // counts as: such links are dear.
 const perKilobyte = 3 * time.Millisecond
