--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,6 +4,7 @@
 //	go run ./cmd/standin demo
 //	go run ./cmd/standin added
 //	go run ./cmd/standin soak --seeds 10
+//	go run ./cmd/standin plot --out day.svg --name before --name after a.json b.json
 //	go run ./cmd/standin platform --listen 127.0.0.1:7000
 //	go run ./cmd/standin worker --listen 127.0.0.1:7100 --id faults-1
 //	go run ./cmd/standin call --service faults --target 127.0.0.1:8000
@@ -39,6 +40,7 @@
 	Call     *callArgs     `arg:"subcommand:call" help:"offer load and check each answer"`
 	Added    *addedArgs    `arg:"subcommand:added" help:"measure what the path of two daemons adds to a direct call"`
 	Soak     *soakArgs     `arg:"subcommand:soak" help:"let faults befall real daemons and check the promises"`
+	Plot     *plotArgs     `arg:"subcommand:plot" help:"draw days of the users' bench, one version or several side by side"`
 	Demo     *demoArgs     `arg:"subcommand:demo" help:"start a service with its daemons, call it and check the promises"`
 }
 
@@ -76,6 +78,8 @@
 		return a.Added.run(ctx)
 	case a.Soak != nil:
 		return a.Soak.run(ctx)
+	case a.Plot != nil:
+		return a.Plot.run()
 	case a.Demo != nil:
 		return a.Demo.run(ctx)
 	}
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -5,11 +5,14 @@
 	"errors"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"pomelodoor.example/pomelodoor/daychart"
 )
 
 // TestMain lets the test program stand for the command: the fleet starts its
@@ -117,3 +120,32 @@
 		})
 	}
 }
+
+func TestPlot(t *testing.T) {
+	dir := t.TempDir()
+	good, bad, out := filepath.Join(dir, "a.json"), filepath.Join(dir, "b.json"), filepath.Join(dir, "day.svg")
+	if err := os.WriteFile(good, []byte(`{"windows":[{"name":"0","worth":1},{"name":"2","worth":0.5}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(bad, []byte(`{}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		args plotArgs
+		want error
+	}{
+		"two versions":   {plotArgs{Out: out, Names: []string{"before", "after"}, Reports: []string{good, good}}, nil},
+		"no name":        {plotArgs{Out: out, Reports: []string{good}}, nil},
+		"too many names": {plotArgs{Out: out, Names: []string{"a", "b"}, Reports: []string{good}}, errBadFlag},
+		"no report":      {plotArgs{Out: out, Reports: []string{good, bad}}, daychart.ErrReport},
+		"no file":        {plotArgs{Out: out, Reports: []string{filepath.Join(dir, "none")}}, os.ErrNotExist},
+		"no directory":   {plotArgs{Out: filepath.Join(dir, "none", "day.svg"), Reports: []string{good}}, os.ErrNotExist},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if err := test.args.run(); !errors.Is(err, test.want) {
+				t.Fatalf("error %v, want %v", err, test.want)
+			}
+		})
+	}
+}
