--- a/cmd/pomelodoor/main_test.go
+++ b/cmd/pomelodoor/main_test.go
@@ -39,6 +39,8 @@
 		"bad address":      {append(settings, "--listen", "localhost:80"), exitUsage, []string{`--listen: "localhost:80" is not IP:PORT`}},
 		"two bad settings": {append(settings, "--log-level", "loud", "--drain-seconds", "-1"), exitUsage, []string{"--log-level", "--drain-seconds"}},
 		"one port twice":   {append(settings, "--peer", "127.0.0.1:1"), exitUsage, []string{"--peer", "already used by --listen"}},
+		"check settings":   {append(settings, "--check"), exitOK, []string{"good: settings of"}},
+		"wrong settings":   {append(settings, "--check", "--bind", "here", "--admin", "x"), exitUsage, []string{"--bind", "--admin"}},
 		"check good":       {[]string{"check", good}, exitOK, []string{"good: services/faults revision 1"}},
 		"check bad":        {[]string{"check", good, bad}, exitFault, []string{"bad.json:2: revision", "bad.json:3: colour"}},
 		"check no file":    {[]string{"check", filepath.Join(dir, "none")}, exitFault, []string{"none"}},
--- a/cmd/pomelodoor/run.go
+++ b/cmd/pomelodoor/run.go
@@ -23,6 +23,10 @@
 	if err := settings.Check(); err != nil {
 		return fmt.Errorf("check settings: %w", err)
 	}
+	if settings.OnlyCheck {
+		_, err := fmt.Fprintf(logTo, "good: settings of %s, service %s\n", settings.Instance, settings.Service)
+		return err
+	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
