A request that crashes upstreams is known wherever it comes in

Its fingerprint holds the caller, for which the platform's dialect put the service at whose machine the request began. Sent again at machines of two services it was two requests, and each cost its two upstreams; more while both were on trial.

Change: a dialect may say that callers are anonymous; the fingerprint is then made without them. The soak draws crashing requests and checks that they end.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -95,7 +95,11 @@
 	request.ID = fmt.Sprintf("%016x", rand.Uint64())
 	request.Replayable = body.Replayable()
 	request.BodyBytes = body.Len()
-	request.Fingerprint = ingress.Fingerprint(&ctx.Request.Header, request.Caller, body)
+	caller := request.Caller
+	if d.dialect.Anonymous {
+		caller = ""
+	}
+	request.Fingerprint = ingress.Fingerprint(&ctx.Request.Header, caller, body)
 	return request, body, nil
 }
 
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -14,6 +14,10 @@
 // Dialect is how callers and the own upstream spell what a daemon needs to
 // know. Daemons always speak to each other as Own does.
 type Dialect struct {
+	// Anonymous is true where callers do not say who they are. What stands for
+	// the caller, such as the place where a request began, may then be another
+	// when the same request comes again.
+	Anonymous bool
 	// Token returns the name that the caller gave the request, or "".
 	Token func(h *fasthttp.RequestHeader) string
 	// Parse fills in what a caller's headers say: the token, the caller, the
--- a/soak/check.go
+++ b/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,6 +17,10 @@
 	followWithin = 2 * time.Second
 	// settleTime is left after the last trouble before its effects count.
 	settleTime = 3 * time.Second
+	// crashesToTell is after how many crashes a request is known for them, and
+	// lateCrashes how many more it may cause later.
+	crashesToTell = 3
+	lateCrashes   = 3
 	// servedShare is the least share of requests that are served once all is calm.
 	servedShare = 0.98
 )
@@ -33,9 +38,35 @@
 	for _, e := range h.exchanges {
 		out = append(out, h.checkExchange(e, runs[e.ask.Token])...)
 	}
+	out = append(out, h.checkCrashes()...)
 	return append(out, h.checkServed()...)
 }
 
+// checkCrashes follows each request that crashes upstreams. After the third crash
+// and the time to tell of it, few of those that come again may reach an upstream.
+func (h *history) checkCrashes() []Violation {
+	byPath := map[string][]platformtest.Run{}
+	for _, r := range h.runs {
+		if strings.Contains(r.Path, platformtest.CrashPath) {
+			byPath[r.Path] = append(byPath[r.Path], r)
+		}
+	}
+	var out []Violation
+	for path, runs := range byPath {
+		slices.SortFunc(runs, func(a, b platformtest.Run) int { return a.Began.Compare(b.Began) })
+		late := 0
+		for i, r := range runs {
+			if i >= crashesToTell && r.Began.Sub(runs[crashesToTell-1].Began) > settleTime && h.untroubledBut(CrashingRequest, r.Began.Add(-settleTime), r.Began) {
+				late++
+			}
+		}
+		if late > lateCrashes {
+			out = append(out, Violation{Promise: CrashesEnd, Detail: fmt.Sprintf("%s crashed %d upstreams, %d of them late", path, len(runs), late)})
+		}
+	}
+	return out
+}
+
 func (h *history) checkRuns(sent map[string]exchange) []Violation {
 	var out []Violation
 	for _, r := range h.runs {
@@ -171,9 +202,12 @@
 }
 
 // untroubled reports whether no fault touched a time, nor the settling before it.
-func (h *history) untroubled(from, to time.Time) bool {
+func (h *history) untroubled(from, to time.Time) bool { return h.untroubledBut("", from, to) }
+
+// untroubledBut does not count faults of one kind.
+func (h *history) untroubledBut(kind Kind, from, to time.Time) bool {
 	for _, s := range h.spells {
-		if !s.event.isPlanned() && s.from.Before(to) && s.to.Add(settleTime).After(from) {
+		if s.event.Kind != kind && !s.event.isPlanned() && s.from.Before(to) && s.to.Add(settleTime).After(from) {
 			return false
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,6 +76,8 @@
 			h.switchedOff(ms(-4000))
 			h.runs = append(h.runs, again(h.runs[0]))
 		}, StaysOff},
+		"a request crashes on and on":     {func(h *history) { h.crash(12, 900*time.Millisecond) }, CrashesEnd},
+		"it crashes six at once":          {func(h *history) { h.crash(6, 100*time.Millisecond) }, ""},
 		"few are served once all is calm": {func(h *history) { h.exchanges[0].told = platformtest.Told{Status: 504} }, Recovers},
 	}
 	for name, test := range tests {
@@ -98,6 +101,16 @@
 	}
 }
 
+// crash lets one request be sent and run a number of times, gap after gap.
+func (h *history) crash(times int, gap time.Duration) {
+	for i := range times {
+		a := platformtest.Ask{Token: fmt.Sprint("crash-", i), Method: "GET", Path: "/look/crash/1", Wait: time.Second}
+		at := ms(-20000).Add(time.Duration(i) * gap)
+		h.exchanges = append(h.exchanges, exchange{ask: a, told: platformtest.Told{Status: 502}, origin: "orders", sent: at, done: at.Add(gap)})
+		h.runs = append(h.runs, platformtest.Run{Token: a.Token, Method: "GET", Path: a.Path, Origin: "orders", Worker: "i-1", Service: "lookups", Began: at})
+	}
+}
+
 func renamed(r platformtest.Run, token string, at time.Time) platformtest.Run {
 	r.Token, r.Began = token, at
 	return r
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -163,6 +163,8 @@
 			f.changeConfig()
 			time.Sleep(stormGap)
 		}
+	case CrashingRequest:
+		f.sendCrashing(e)
 	case SwitchesOff:
 		f.store.Publish("switches", []byte(`{"kind":"switches","revision":1,"allOff":true}`))
 		f.history.switchedOff(time.Now())
@@ -212,6 +214,10 @@
 }
 
 func (m *machine) sufferUpstream(e Event) {
+	if e.Kind != UpstreamIll {
+		m.replacing.Lock()
+		defer m.replacing.Unlock()
+	}
 	w := m.upstream()
 	if w == nil {
 		return
@@ -228,10 +234,5 @@
 		m.fleet.history.left(w.ID(), time.Now())
 		time.Sleep(drainTime)
 	}
-	m.endWorker()
-	m.fleet.store.Remove(key)
-	time.Sleep(restartAfter)
-	if err := m.startWorker(); err != nil {
-		m.fleet.note(Violation{Promise: StaysUp, Detail: err.Error()})
-	}
+	m.replaceWorker(key, restartAfter)
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -96,6 +96,8 @@
 	NothingLost Promise = "nothingLost"
 	// StaysOff: with all actions off no request is sent to a second upstream.
 	StaysOff Promise = "staysOff"
+	// CrashesEnd: a request that crashes upstreams soon reaches no more of them.
+	CrashesEnd Promise = "crashesEnd"
 	// Recovers: once all is calm requests are served.
 	Recovers Promise = "recovers"
 	// StaysUp: no process ends by itself, and StopsInTime: none must be killed.
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -17,6 +17,8 @@
 const (
 	// restartAfter is how long after its end a daemon is started again.
 	restartAfter = 200 * time.Millisecond
+	// crashedFor is how long an upstream that crashed stays away.
+	crashedFor = time.Second
 	// seedMachines is how many daemons every daemon is told of at its start.
 	seedMachines = 3
 	// stopWithin is when a daemon that was told to stop is killed.
@@ -51,7 +53,9 @@
 	worker   *platformtest.Worker
 	lives    int
 	past     []*platformtest.Worker
-	log      *os.File
+	// replacing is held while another upstream takes the place of one.
+	replacing sync.Mutex
+	log       *os.File
 }
 
 func (f *fleet) newMachine(number int) (*machine, error) {
@@ -96,7 +100,7 @@
 	m.lives++
 	w, err := platformtest.StartWorker(platformtest.WorkerConfig{
 		ID: fmt.Sprintf("i-%d-%d", m.number, m.lives), Service: m.service, Zone: m.zone,
-		Listen: at(m.outer, m.fleet.ports.worker), Slots: workerSlots, Work: workerTime,
+		Listen: at(m.outer, m.fleet.ports.worker), Slots: workerSlots, Work: workerTime, Crash: m.crashed,
 	})
 	if err != nil {
 		return err
@@ -106,6 +110,32 @@
 	return nil
 }
 
+// crashed ends an upstream that a request has crashed, and starts another after a
+// while, unless something else is already ending it.
+func (m *machine) crashed(w *platformtest.Worker) {
+	m.fleet.work.Go(func() {
+		if !m.replacing.TryLock() {
+			return
+		}
+		defer m.replacing.Unlock()
+		if m.upstream() != w {
+			return
+		}
+		key, _ := w.Entry(false)
+		m.replaceWorker(key, crashedFor)
+	})
+}
+
+// replaceWorker ends the upstream and starts another after a while.
+func (m *machine) replaceWorker(key string, away time.Duration) {
+	m.endWorker()
+	m.fleet.store.Remove(key)
+	time.Sleep(away)
+	if err := m.startWorker(); err != nil {
+		m.fleet.note(Violation{Promise: StaysUp, Detail: err.Error()})
+	}
+}
+
 // endWorker ends the upstream as a crash would.
 func (m *machine) endWorker() {
 	m.mu.Lock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,6 +35,9 @@
 	UpstreamIll   Kind = "upstreamIll"
 	UpstreamCrash Kind = "upstreamCrash"
 	UpstreamLeave Kind = "upstreamLeave"
+	// CrashingRequest is a request that crashes each upstream that runs it, and
+	// comes again and again.
+	CrashingRequest Kind = "crashingRequest"
 	// ConfigChange moves routes, ConfigStorm several times in a row.
 	ConfigChange Kind = "configChange"
 	ConfigStorm  Kind = "configStorm"
@@ -47,6 +50,7 @@
 	LinkTrouble, LinkTrouble, LinkTrouble, CallerReset, StoreTrouble, StoreTrouble, StoreForgets,
 	DaemonStop, DaemonStop, DaemonKill, DaemonKill, DaemonPause, DaemonReload,
 	UpstreamIll, UpstreamIll, UpstreamCrash, UpstreamLeave, UpstreamLeave, ConfigChange, ConfigStorm,
+	CrashingRequest,
 }
 
 // planned are the kinds that are no faults: nothing may be lost by them alone.
@@ -123,6 +127,8 @@
 	e.For = min(time.Duration((0.1+0.9*rng.Float64())*float64(longest)), length-calm-at)
 	count := 1
 	switch e.Kind {
+	case CrashingRequest:
+		e.For = min(2*longest, length-calm-at)
 	case StoreTrouble, DaemonKill, DaemonStop, DaemonReload:
 		if rng.IntN(3) == 0 {
 			count = 1 + rng.IntN(machines)
--- a/soak/run.go
+++ b/soak/run.go
@@ -27,6 +27,8 @@
 	// comeBack is how long a caller that was told not run waits before it sends
 	// the request again, under another name.
 	comeBack = 50 * time.Millisecond
+	// crashPause is the pause before a request that crashes upstreams comes again.
+	crashPause = 200 * time.Millisecond
 	// longBody is the length of the longest body.
 	longBody = 200 << 10
 )
@@ -163,6 +165,21 @@
 	return e
 }
 
+// sendCrashing sends one request that crashes upstreams again and again, to one
+// machine after the other.
+func (f *fleet) sendCrashing(e Event) {
+	caller := platformtest.NewCaller()
+	defer caller.Close()
+	rng := rand.New(rand.NewPCG(f.cfg.Seed, uint64(e.At)))
+	path := lookPath + strings.TrimPrefix(platformtest.CrashPath, "/") + token(rng)
+	for end := time.Now().Add(e.For); time.Now().Before(end); time.Sleep(crashPause) {
+		m := f.machines[rng.IntN(len(f.machines))]
+		f.send(caller, m, platformtest.Ask{Token: token(rng), Method: http.MethodGet, Path: path, Wait: waitFor})
+	}
+	// What was sent last may still begin to run.
+	time.Sleep(waitFor)
+}
+
 // ask draws a request.
 func ask(rng *rand.Rand) platformtest.Ask {
 	a := platformtest.Ask{Token: token(rng), Method: http.MethodGet, Wait: waitFor}
