A daemon without an answer asks the one that tells of later changes

Cause: found on reading. After a silent outage a daemon's list may hang for two seconds and then back off for up to 2.4 s, beyond the 3 s in which it must follow. Others that got through earlier tell their revision with every request, but a daemon in trouble passed over that word. Change: it has a neighbour asked as soon as the pause since the last question is 250 ms, and that one first. follow TestAsk, three cases; the first failed before.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -103,6 +103,11 @@
 // hear takes in the store's revision that another daemon holds. If the watch under
 // way has shown nothing of it, it is given up: the store may never answer it.
 func (d *Daemon) hear(revision uint64, from string) {
+	if revision <= d.held.known.Load() {
+		return
+	}
+	// On the platform a daemon is named by where it takes requests of others.
+	d.lending.ahead.Store(&from)
 	if !d.held.heard(revision, time.Now()) {
 		return
 	}
--- a/daemon/held.go
+++ b/daemon/held.go
@@ -84,9 +84,6 @@
 // heard takes in the revision that another daemon holds, and reports whether the
 // watch under way is to be given up.
 func (h *heldCopy) heard(revision uint64, now time.Time) bool {
-	if revision <= h.known.Load() {
-		return false
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.f.Heard(revision, now)
--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -31,6 +31,8 @@
 // answer, one at a time.
 type lending struct {
 	under atomic.Bool
+	// ahead is the last daemon that told of a later revision.
+	ahead atomic.Pointer[string]
 	tries int
 	// silent is whether the log has been told that nobody lends.
 	silent bool
@@ -74,8 +76,12 @@
 	}
 }
 
-// lender returns the address of a daemon to ask, or "" if none is known.
+// lender returns the address of a daemon to ask, or "" if none is known. One that
+// has told of a later revision comes first.
 func (d *Daemon) lender() string {
+	if ahead := d.lending.ahead.Swap(nil); ahead != nil {
+		return *ahead
+	}
 	try := d.lending.tries
 	d.lending.tries++
 	d.mu.Lock()
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -32,11 +32,22 @@
 	if f.unanswered.IsZero() || now.Before(f.askAt) {
 		return false
 	}
+	f.askedAt = now
 	f.askAt = now.Add(f.askPause)
 	f.askPause = min(2*f.askPause, lastAskPause)
 	return true
 }
 
+// askSoon has a neighbour asked as soon as the first pause is over.
+func (f *Follower) askSoon(now time.Time) {
+	if soon := f.askedAt.Add(firstAskPause); soon.After(now) {
+		now = soon
+	}
+	if now.Before(f.askAt) {
+		f.askAt = now
+	}
+}
+
 // Lend returns the copy for a neighbour, without the keys that the store no longer
 // has.
 func (f *Follower) Lend() Copy {
--- a/follow/copy_test.go
+++ b/follow/copy_test.go
@@ -143,6 +143,21 @@
 			events: []event{{0, failed}},
 			look:   []int{100, 350, 850, 1850, 2849, 2850}, due: []int{100, 350, 850, 1850, 2850},
 		},
+		"others turn out to hold more": {
+			events: []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {40, func(f *follow.Follower, now time.Time) { f.Heard(6, now) }}},
+			look:   []int{40, 200, 290}, due: []int{40, 290},
+		},
+		"others hold the same": {
+			events: []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {40, func(f *follow.Follower, now time.Time) { f.Heard(5, now) }}},
+			look:   []int{40, 309, 310}, due: []int{310},
+		},
+		"word of others does not shorten the first pause": {
+			events: []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {400, func(f *follow.Follower, now time.Time) {
+				f.Ask(now)
+				f.Heard(6, now)
+			}}},
+			look: []int{500, 649, 650}, due: []int{650},
+		},
 		"an answer ends the asking": {
 			events: []event{{0, failed}, {100, listed(5, false, item("a", 1))}},
 			look:   []int{101, 1000},
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -95,6 +95,7 @@
 	// unanswered is since when the store has left a list without an answer.
 	unanswered time.Time
 	askAt      time.Time
+	askedAt    time.Time
 	askPause   time.Duration
 	// aheadSince is since when others are known to hold a later revision, while
 	// the watch under way has shown nothing.
--- a/follow/silence.go
+++ b/follow/silence.go
@@ -23,9 +23,16 @@
 
 // Heard takes in the revision that another daemon holds. It reports whether the
 // watch under way is to be given up, because others have been ahead of it for too
-// long. That is reported once for a watch.
+// long. That is reported once for a watch. While the store leaves this daemon
+// without an answer, the other is worth asking for its copy soon.
 func (f *Follower) Heard(revision uint64, now time.Time) bool {
-	if revision <= f.revision || !f.listed || f.doubted {
+	if revision <= f.revision {
+		return false
+	}
+	if !f.unanswered.IsZero() {
+		f.askSoon(now)
+	}
+	if !f.listed || f.doubted {
 		return false
 	}
 	if now.Before(f.notBefore) {
