soak: one daemon cut off from all others in both directions

The soak could cut the links to a daemon, not those from it: its connections out go by the relays of others, which could not tell who came.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -132,6 +132,9 @@
 		self.ID = settings.Peer
 		dialect = platform.Dialect(settings.Service)
 	}
+	if seams.Dial == nil && settings.Bind != "" {
+		seams.Dial = exchange.DialFrom(settings.Bind)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: settings, log: logger, lines: seams.Lines, self: self, incarnation: incarnation, started: started,
@@ -159,7 +162,7 @@
 
 func (d *Daemon) listen() (err error) {
 	s := d.settings
-	if d.control, err = peer.Start(peer.Config{Listen: s.opened(s.Control), Handle: d.receive, Lost: d.lostFraming}); err != nil {
+	if d.control, err = peer.Start(peer.Config{Listen: s.opened(s.Control), From: s.Bind, Handle: d.receive, Lost: d.lostFraming}); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
 	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.opened(s.Peer), Handle: d.servePeer, Expect: d.expectPeer, NoDate: true}); err != nil {
--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -19,8 +19,19 @@
 // Dial opens a TCP connection that fails once the other end has been silent for
 // a few seconds.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return dial(ctx, address, nil)
+}
+
+// DialFrom returns a Dial whose connections come from an IP of this machine.
+func DialFrom(ip string) func(ctx context.Context, address string) (net.Conn, error) {
+	from := &net.TCPAddr{IP: net.ParseIP(ip)}
+	return func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, address, from) }
+}
+
+func dial(ctx context.Context, address string, from net.Addr) (net.Conn, error) {
 	d := net.Dialer{
-		Control: limitSilence,
+		LocalAddr: from,
+		Control:   limitSilence,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveMisses,
 		},
--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -26,6 +26,8 @@
 type Config struct {
 	// Listen is the IP:PORT to take messages at.
 	Listen string
+	// From is the IP that connections to others come from; any when empty.
+	From string
 	// MaxFrame bounds one message in bytes; DefaultMaxFrame when zero.
 	MaxFrame int
 	// Handle is called with each message, on the connection's own goroutine.
--- a/peer/link.go
+++ b/peer/link.go
@@ -98,7 +98,11 @@
 }
 
 func (l *link) dial() error {
-	raw, err := net.DialTimeout("tcp", l.address, dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if ip := net.ParseIP(l.e.cfg.From); ip != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	raw, err := dialer.Dial("tcp", l.address)
 	if err != nil {
 		return fmt.Errorf("dial control %s: %w", l.address, err)
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -184,6 +184,10 @@
 		m.setLinks(e.Link, m.peers...)
 		time.Sleep(e.For)
 		m.setLinks(standin.Link{}, m.peers...)
+	case DaemonCut:
+		m.cutOff(true)
+		time.Sleep(e.For)
+		m.cutOff(false)
 	case CallerReset:
 		m.setLinks(standin.Link{Cut: standin.CutReset}, m.callers)
 		time.Sleep(e.For / 10)
@@ -207,6 +211,23 @@
 	}
 }
 
+// cutOff cuts the links between this daemon and all others, or mends them.
+func (m *machine) cutOff(cut bool) {
+	link := standin.Link{}
+	if cut {
+		link.Cut = standin.CutBlackHole
+	}
+	m.setLinks(link, m.peers...)
+	for _, other := range m.fleet.machines {
+		if other == m {
+			continue
+		}
+		for _, r := range other.peers {
+			r.Isolate(m.inner, cut)
+		}
+	}
+}
+
 func (m *machine) setLinks(link standin.Link, relays ...*standin.Relay) {
 	for _, r := range relays {
 		r.Set(link)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -17,6 +17,9 @@
 const (
 	// LinkTrouble harms the links of other daemons to one daemon.
 	LinkTrouble Kind = "linkTrouble"
+	// DaemonCut cuts one daemon off from all others, in both directions; callers,
+	// its upstream and the store reach it.
+	DaemonCut Kind = "daemonCut"
 	// CallerReset resets the connections of callers to one daemon.
 	CallerReset Kind = "callerReset"
 	// StoreTrouble turns some daemons away from the store, or all.
@@ -47,7 +50,7 @@
 
 // kinds are the kinds drawn from, as often as they stand here.
 var kinds = []Kind{
-	LinkTrouble, LinkTrouble, LinkTrouble, CallerReset, StoreTrouble, StoreTrouble, StoreForgets,
+	LinkTrouble, LinkTrouble, LinkTrouble, DaemonCut, CallerReset, StoreTrouble, StoreTrouble, StoreForgets,
 	DaemonStop, DaemonStop, DaemonKill, DaemonKill, DaemonPause, DaemonReload,
 	UpstreamIll, UpstreamIll, UpstreamCrash, UpstreamLeave, UpstreamLeave, ConfigChange, ConfigStorm,
 	CrashingRequest,
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -61,11 +61,13 @@
 	listener *Listener
 	closed   chan struct{}
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	link    Link
-	changed chan struct{}
-	conns   map[net.Conn]struct{}
+	mu   sync.Mutex
+	rng  *rand.Rand
+	link Link
+	// isolated holds the IPs whose connections are cut.
+	isolated map[string]bool
+	changed  chan struct{}
+	conns    map[net.Conn]struct{}
 }
 
 // NewRelay starts a relay.
@@ -81,7 +83,7 @@
 		to: cfg.To, listener: l, link: cfg.Link,
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 2)),
 		closed: make(chan struct{}), changed: make(chan struct{}),
-		conns: map[net.Conn]struct{}{},
+		conns: map[net.Conn]struct{}{}, isolated: map[string]bool{},
 	}
 	go r.accept()
 	return r, nil
@@ -104,6 +106,16 @@
 	}
 }
 
+// Isolate cuts the connections that come from an IP, as a link that drops packets
+// in both directions, or mends them.
+func (r *Relay) Isolate(ip string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isolated[ip] = cut
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // Close ends the relay and every connection over it.
 func (r *Relay) Close() {
 	close(r.closed)
@@ -132,7 +144,8 @@
 		return
 	}
 	defer r.drop(from)
-	if !r.waitOpen(CutBlackHole) {
+	source := sourceOf(from)
+	if !r.waitOpen(source, CutBlackHole) {
 		return
 	}
 	to, err := net.DialTimeout("tcp", r.to, relayDial)
@@ -145,8 +158,8 @@
 	}
 	defer r.drop(to)
 	var both sync.WaitGroup
-	both.Go(func() { r.pass(to, from, CutBlackHole) })
-	both.Go(func() { r.pass(from, to, CutBlackHole, CutAnswers) })
+	both.Go(func() { r.pass(to, from, source, CutBlackHole) })
+	both.Go(func() { r.pass(from, to, source, CutBlackHole, CutAnswers) })
 	both.Wait()
 }
 
@@ -186,12 +199,12 @@
 // pass carries one direction, which the cuts named hold up. Bytes stay in order,
 // so a late chunk holds back those behind it. The end of the direction is passed
 // on too.
-func (r *Relay) pass(to, from net.Conn, cuts ...Cut) {
+func (r *Relay) pass(to, from net.Conn, source string, cuts ...Cut) {
 	way := make(chan chunk, relayWaiting)
 	over := make(chan struct{})
 	go func() {
 		defer close(over)
-		r.deliver(to, way, cuts)
+		r.deliver(to, way, source, cuts)
 	}()
 	r.receive(from, way, over)
 	close(way)
@@ -217,10 +230,10 @@
 }
 
 // deliver writes each chunk when it is due and the link is open.
-func (r *Relay) deliver(to net.Conn, way <-chan chunk, cuts []Cut) {
+func (r *Relay) deliver(to net.Conn, way <-chan chunk, source string, cuts []Cut) {
 	for c := range way {
 		time.Sleep(time.Until(c.due))
-		if !r.waitOpen(cuts...) {
+		if !r.waitOpen(source, cuts...) {
 			return
 		}
 		if _, err := to.Write(c.data); err != nil {
@@ -228,7 +241,7 @@
 			return
 		}
 	}
-	if !r.waitOpen(cuts...) {
+	if !r.waitOpen(source, cuts...) {
 		return
 	}
 	if half, ok := to.(interface{ CloseWrite() error }); ok {
@@ -250,14 +263,21 @@
 	return d
 }
 
-// waitOpen waits while the link is cut in one of the ways named, and returns false
-// when the relay closes.
-func (r *Relay) waitOpen(cuts ...Cut) bool {
+// sourceOf returns the IP that a connection comes from.
+func sourceOf(c net.Conn) string {
+	// The address of an accepted TCP connection always has a port.
+	ip, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	return ip
+}
+
+// waitOpen waits while the link is cut in one of the ways named, or for the IP that
+// the connection comes from, and returns false when the relay closes.
+func (r *Relay) waitOpen(source string, cuts ...Cut) bool {
 	for {
 		r.mu.Lock()
-		cut, changed := r.link.Cut, r.changed
+		cut, changed, isolated := r.link.Cut, r.changed, r.isolated[source]
 		r.mu.Unlock()
-		if !slices.Contains(cuts, cut) {
+		if !isolated && !slices.Contains(cuts, cut) {
 			return true
 		}
 		select {
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -116,3 +116,37 @@
 		_ = again.Close()
 	}
 }
+
+// TestRelayIsolates: connections from one IP are held up, those from others pass.
+func TestRelayIsolates(t *testing.T) {
+	r, err := NewRelay(RelayConfig{To: echo(t), Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	r.Isolate("127.0.0.9", true)
+	talk := func(ip string) bool {
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+		c, err := dialer.Dial("tcp", r.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := c.Write([]byte("x")); err != nil {
+			return false
+		}
+		_, err = io.ReadFull(c, make([]byte, 1))
+		return err == nil
+	}
+	if talk("127.0.0.9") {
+		t.Error("the isolated one is heard")
+	}
+	if !talk("127.0.0.8") {
+		t.Error("another is not heard")
+	}
+	r.Isolate("127.0.0.9", false)
+	if !talk("127.0.0.9") {
+		t.Error("not heard after the end")
+	}
+}
