Daemons that know nothing do not make each other certain

Cause: found on reading. A daemon that starts in an outage counts the neighbours that have shown their copy before it takes automatic actions; one that held no copy at all answered "none newer", which counted. Two fresh daemons beside a silent store allowed all assumed actions after 101 ms, with the operators' switches unread. Change: a daemon without a copy lends none, a lent copy says whether its lender is certain of it, and only such lenders count.

--- a/daemon/held.go
+++ b/daemon/held.go
@@ -89,14 +89,16 @@
 	return h.f.Heard(revision, now)
 }
 
-// lend returns the copy and its age, or false if it is not newer than a revision.
-func (h *heldCopy) lend(than uint64) (c follow.Copy, age time.Duration, ok bool) {
+// lend returns the copy and its age, without items if it is not newer than a
+// revision.
+func (h *heldCopy) lend(than uint64) (follow.Copy, time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.f.Revision() <= than {
-		return follow.Copy{}, 0, false
+	c := h.f.Lend(h.others())
+	if c.Revision <= than {
+		c.Items = nil
 	}
-	return h.f.Lend(), time.Since(h.answeredAt), true
+	return c, time.Since(h.answeredAt)
 }
 
 func (h *heldCopy) hurry() {
--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -72,7 +72,7 @@
 	if before, taken := d.held.lent(c, address, age); taken {
 		d.metrics.borrowed.Add(1)
 		d.part("store").Info("A neighbour's copy of the store is taken.", "from", address, "revision", c.Revision,
-			"revisionBefore", before, "ageMs", age.Milliseconds(), "keys", len(c.Items))
+			"revisionBefore", before, "ageMs", age.Milliseconds(), "certain", c.Certain, "keys", len(c.Items))
 	}
 }
 
@@ -101,7 +101,7 @@
 	return d.node.Others()
 }
 
-// askForCopy asks a daemon for its copy. One that is no newer comes back empty.
+// askForCopy asks a daemon for its copy. One that is no newer comes without items.
 func (d *Daemon) askForCopy(address string, than uint64) (follow.Copy, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, lendTime)
 	defer cancel()
@@ -118,25 +118,22 @@
 	if err != nil {
 		return follow.Copy{}, 0, fmt.Errorf("read a copy: %w", err)
 	}
-	switch resp.StatusCode() {
-	case fasthttp.StatusNoContent:
-		return follow.Copy{}, 0, nil
-	case fasthttp.StatusOK:
-		return follow.DecodeCopy(body)
+	if status := resp.StatusCode(); status != fasthttp.StatusOK {
+		return follow.Copy{}, 0, fmt.Errorf("%w: status %d", follow.ErrCopy, status)
 	}
-	return follow.Copy{}, 0, fmt.Errorf("%w: status %d", follow.ErrCopy, resp.StatusCode())
+	return follow.DecodeCopy(body)
 }
 
-// serveCopy lends the own copy to another daemon, if it is newer than theirs.
+// serveCopy lends the own copy to another daemon, if there is one.
 func (d *Daemon) serveCopy(ctx *fasthttp.RequestCtx, known []byte) {
 	than, err := strconv.ParseUint(string(known), 10, 64)
 	if err != nil {
 		ctx.Error(call.HeaderCopy+" holds no revision", fasthttp.StatusBadRequest)
 		return
 	}
-	c, age, ok := d.held.lend(than)
-	if !ok {
-		ctx.SetStatusCode(fasthttp.StatusNoContent)
+	c, age := d.held.lend(than)
+	if c.Revision == 0 {
+		ctx.Error("nothing is known of the store yet", fasthttp.StatusServiceUnavailable)
 		return
 	}
 	text, err := follow.EncodeCopy(c, age)
@@ -145,7 +142,9 @@
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
-	d.metrics.lent.Add(1)
+	if len(c.Items) > 0 {
+		d.metrics.lent.Add(1)
+	}
 	ctx.SetContentType("application/json")
 	ctx.SetBody(text)
 }
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -23,7 +23,10 @@
 	// Revision is the store's revision that the copy is true of. Single items
 	// may be newer.
 	Revision uint64
-	Items    []Item
+	// Certain is true if the lender has it from the store itself, or from enough
+	// others.
+	Certain bool
+	Items   []Item
 }
 
 // Ask reports whether a neighbour is to be asked for its copy now. It counts as
@@ -49,9 +52,9 @@
 }
 
 // Lend returns the copy for a neighbour, without the keys that the store no longer
-// has.
-func (f *Follower) Lend() Copy {
-	c := Copy{Revision: f.revision, Items: make([]Item, 0, len(f.items))}
+// has. others is the number of other daemons.
+func (f *Follower) Lend(others int) Copy {
+	c := Copy{Revision: f.revision, Certain: f.Certain(others), Items: make([]Item, 0, len(f.items))}
 	for key, item := range f.items {
 		if _, gone := f.kept[key]; !gone {
 			c.Items = append(c.Items, item)
@@ -61,10 +64,12 @@
 }
 
 // Lent takes in a neighbour's copy if it is newer than what is held, and reports
-// whether it is. A neighbour that has none newer shows an empty one. The store is
-// listed all the same, as soon as it answers.
+// whether it is. A neighbour that has none newer shows it without items. The store
+// is listed all the same, as soon as it answers.
 func (f *Follower) Lent(c Copy, from string) bool {
-	f.lenders[from] = true
+	if c.Certain {
+		f.lenders[from] = true
+	}
 	if c.Revision <= f.revision || len(c.Items) == 0 {
 		return false
 	}
@@ -79,7 +84,7 @@
 
 // Certain reports whether the copy can be taken for what the store held a moment
 // ago: the store has been listed since the start, or enough of the other daemons
-// have shown theirs.
+// that are certain have shown theirs.
 func (f *Follower) Certain(others int) bool {
 	return f.everListed || len(f.lenders) >= min(enoughLenders, max(others, 1))
 }
--- a/follow/copy_test.go
+++ b/follow/copy_test.go
@@ -83,7 +83,7 @@
 	from := func(names ...string) step {
 		return func(f *follow.Follower, _ time.Time) {
 			for _, name := range names {
-				f.Lent(follow.Copy{}, name)
+				f.Lent(follow.Copy{Revision: 5, Certain: true}, name)
 			}
 		}
 	}
@@ -92,14 +92,19 @@
 		others int
 		want   bool
 	}{
-		"at the start":                        {asked, 0, false},
-		"the store was listed":                {listed(5, false, item("a", 1)), 9, true},
-		"one page of more":                    {listed(5, true, item("a", 1)), 9, false},
-		"two of many":                         {from("n-1", "n-2"), 9, false},
-		"one of many, three times":            {from("n-1", "n-1", "n-1"), 9, false},
-		"three of many":                       {from("n-1", "n-2", "n-3"), 9, true},
-		"both others":                         {from("n-1", "n-2"), 2, true},
-		"the only other":                      {from("n-1"), 1, true},
+		"at the start":             {asked, 0, false},
+		"the store was listed":     {listed(5, false, item("a", 1)), 9, true},
+		"one page of more":         {listed(5, true, item("a", 1)), 9, false},
+		"two of many":              {from("n-1", "n-2"), 9, false},
+		"one of many, three times": {from("n-1", "n-1", "n-1"), 9, false},
+		"three of many":            {from("n-1", "n-2", "n-3"), 9, true},
+		"both others":              {from("n-1", "n-2"), 2, true},
+		"the only other":           {from("n-1"), 1, true},
+		"three that are not certain": {func(f *follow.Follower, _ time.Time) {
+			for _, name := range []string{"n-1", "n-2", "n-3"} {
+				f.Lent(follow.Copy{Revision: 5, Items: []follow.Item{item("a", 1)}}, name)
+			}
+		}, 9, false},
 		"one, and no other is known to exist": {from("n-1"), 0, true},
 	}
 	for name, test := range tests {
@@ -210,7 +215,7 @@
 				s.change("a", false)
 				other.Listed(s.page(), now)
 				f.Failed(now)
-				f.Lent(other.Lend(), "n-1")
+				f.Lent(other.Lend(1), "n-1")
 				before = f.Revision()
 				f.Listed(page, now)
 			case "watch":
@@ -218,14 +223,14 @@
 					changes, asOf := s.since(f.Revision())
 					s.change("b", true)
 					other.Listed(s.page(), now)
-					f.Lent(other.Lend(), "n-1")
+					f.Lent(other.Lend(1), "n-1")
 					before = f.Revision()
 					f.Watched(changes, asOf, now)
 				}
 			case "fail":
 				f.Failed(now)
 			case "lend":
-				f.Lent(other.Lend(), "n-1")
+				f.Lent(other.Lend(1), "n-1")
 			}
 			if f.Revision() < before {
 				t.Fatalf("revision %d after %d", f.Revision(), before)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -88,7 +88,7 @@
 	first    uint64 // revision of the first page of the list under way
 
 	everListed bool
-	// lenders are the neighbours that have shown their copy.
+	// lenders are the neighbours that have shown a copy they are certain of.
 	lenders map[string]bool
 	// lent is the revision of a neighbour's copy that no list has confirmed.
 	lent uint64
--- a/follow/message.go
+++ b/follow/message.go
@@ -14,8 +14,9 @@
 type copyMessage struct {
 	Revision uint64 `json:"revision"`
 	// AgeMs is how long ago the store last answered the lender.
-	AgeMs int64         `json:"ageMs"`
-	Items []itemMessage `json:"items"`
+	AgeMs   int64         `json:"ageMs"`
+	Certain bool          `json:"certain"`
+	Items   []itemMessage `json:"items"`
 }
 
 type itemMessage struct {
@@ -27,7 +28,7 @@
 // EncodeCopy returns the message that carries a copy; age is how long ago the
 // store last answered.
 func EncodeCopy(c Copy, age time.Duration) ([]byte, error) {
-	m := copyMessage{Revision: c.Revision, AgeMs: age.Milliseconds(), Items: make([]itemMessage, 0, len(c.Items))}
+	m := copyMessage{Revision: c.Revision, AgeMs: age.Milliseconds(), Certain: c.Certain, Items: make([]itemMessage, 0, len(c.Items))}
 	for _, item := range c.Items {
 		m.Items = append(m.Items, itemMessage{Key: item.Key, Value: item.Value, Revision: item.Revision})
 	}
@@ -47,7 +48,7 @@
 	if m.Revision == 0 || m.AgeMs < 0 {
 		return Copy{}, 0, fmt.Errorf("%w: revision %d, age %d ms", ErrCopy, m.Revision, m.AgeMs)
 	}
-	c := Copy{Revision: m.Revision, Items: make([]Item, 0, len(m.Items))}
+	c := Copy{Revision: m.Revision, Certain: m.Certain, Items: make([]Item, 0, len(m.Items))}
 	for _, item := range m.Items {
 		if item.Key == "" || item.Revision == 0 {
 			return Copy{}, 0, fmt.Errorf("%w: item %q of revision %d", ErrCopy, item.Key, item.Revision)
--- a/follow/message_test.go
+++ b/follow/message_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestCopyMessage(t *testing.T) {
-	want := follow.Copy{Revision: 9, Items: []follow.Item{item("a", 3), {Key: "b/Ω", Value: []byte{0, 255}, Revision: 12}}}
+	want := follow.Copy{Revision: 9, Certain: true, Items: []follow.Item{item("a", 3), {Key: "b/Ω", Value: []byte{0, 255}, Revision: 12}}}
 	text, err := follow.EncodeCopy(want, 1500*time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
