--- a/balance/cost.go
+++ b/balance/cost.go
@@ -96,22 +96,12 @@
 
 // worked follows how much longer than elsewhere calls take there.
 func (u *upstream) worked(factor float64, now time.Time) {
-	u.factor = u.slownessRead(now)
-	u.factor += factorWeight * (factor - u.factor)
-	u.factorAt = now
-}
-
-// slownessRead is the factor as last followed, faded to that of the others.
-func (u *upstream) slownessRead(now time.Time) float64 {
-	if u.factor == 0 {
-		return 1
-	}
-	return 1 + (u.factor-1)*fade(now.Sub(u.factorAt), latencyLife)
+	u.slower.follow(factor-1, factorWeight, latencyLife, now)
 }
 
 // slowness is the factor where it is too large for chance.
 func (u *upstream) slowness(now time.Time) float64 {
-	if f := u.slownessRead(now); f >= deadZone {
+	if f := 1 + u.slower.now(latencyLife, now); f >= deadZone {
 		return f
 	}
 	return 1
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -38,14 +38,10 @@
 	seen        bool      // as a candidate
 	rampFrom    time.Time // when its share began to grow; zero when it does not
 	own         Estimate  // of the calls sent from here
-	// factor is how much longer than elsewhere calls take, as of factorAt; 0
-	// when not known.
-	factor   float64
-	factorAt time.Time
-	// way is how much longer than usual the way takes, in nanoseconds, as of
-	// wayAt.
-	way       float64
-	wayAt     time.Time
+	// slower is how much longer than elsewhere calls take, as a factor less 1,
+	// and way how much longer than usual the way takes, in nanoseconds.
+	slower    fading
+	way       fading
 	started   []time.Time
 	load      Load
 	measured  time.Time // when load was true; zero when nothing was heard
--- a/balance/way.go
+++ b/balance/way.go
@@ -13,24 +13,15 @@
 	wayNoise = 20 * time.Millisecond
 )
 
-// onWay follows how much longer than usual the way takes.
+// onWay follows how much longer than usual the way takes, in nanoseconds.
 func (u *upstream) onWay(excess float64, now time.Time) {
-	u.way = u.wayNow(now)
-	u.way += wayWeight * (excess - u.way)
-	u.wayAt = now
-}
-
-func (u *upstream) wayNow(now time.Time) float64 {
-	if u.way == 0 {
-		return 0
-	}
-	return u.way * fade(now.Sub(u.wayAt), wayLife)
+	u.way.follow(excess, wayWeight, wayLife, now)
 }
 
 // wayCost is what the way costs beyond the usual, where that is too much for
 // chance.
 func (u *upstream) wayCost(now time.Time) float64 {
-	if w := u.wayNow(now); w >= float64(wayNoise) {
+	if w := u.way.now(wayLife, now); w >= float64(wayNoise) {
 		return w
 	}
 	return 0
--- a/daemon/held.go
+++ b/daemon/held.go
@@ -13,6 +13,7 @@
 // heldCopy is the copy of the store, and what passes its changes on to the node.
 // The call to the store, and neighbours that ask or lend, come to it by turns.
 type heldCopy struct {
+	d *Daemon
 	// known is the revision of the copy, for readers that must not wait.
 	known atomic.Uint64
 
@@ -25,17 +26,14 @@
 	answeredAt time.Time
 	// complete is whether the node knows that it has all documents.
 	complete bool
-	others   func() int
-	finish   func()
 }
 
 func newHeldCopy(d *Daemon) *heldCopy {
 	return &heldCopy{
+		d:         d,
 		f:         follow.New(follow.Config{Rand: rand.Uint64, Gather: d.settings.gather()}),
 		documents: &documentFeed{d: d, seen: map[string]uint64{}},
 		upstreams: &upstreamFeed{d: d, ports: d.ports(), read: map[string]readUpstream{}},
-		others:    d.others,
-		finish:    func() { d.update(node.DocumentsComplete{}) },
 	}
 }
 
@@ -50,9 +48,9 @@
 		h.documents.feed(h.f)
 		h.upstreams.feed(h.f, time.Now())
 	}
-	if !h.complete && h.f.Certain(h.others()) {
+	if !h.complete && h.f.Certain(h.d.others()) {
 		h.complete = true
-		h.finish()
+		h.d.update(node.DocumentsComplete{})
 	}
 	return changed
 }
@@ -94,11 +92,7 @@
 func (h *heldCopy) lend(than uint64) (follow.Copy, time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	c := h.f.Lend(h.others())
-	if c.Revision <= than {
-		c.Items = nil
-	}
-	return c, time.Since(h.answeredAt)
+	return h.f.Lend(than, h.d.others()), time.Since(h.answeredAt)
 }
 
 func (h *heldCopy) hurry() {
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -52,9 +52,14 @@
 }
 
 // Lend returns the copy for a neighbour, without the keys that the store no longer
-// has. others is the number of other daemons.
-func (f *Follower) Lend(others int) Copy {
-	c := Copy{Revision: f.revision, Certain: f.Certain(others), Items: make([]Item, 0, len(f.items))}
+// has, and without items if it is not newer than a revision. others is the number of
+// other daemons.
+func (f *Follower) Lend(than uint64, others int) Copy {
+	c := Copy{Revision: f.revision, Certain: f.Certain(others)}
+	if c.Revision <= than {
+		return c
+	}
+	c.Items = make([]Item, 0, len(f.items))
 	for key, item := range f.items {
 		if _, gone := f.kept[key]; !gone {
 			c.Items = append(c.Items, item)
--- a/follow/copy_test.go
+++ b/follow/copy_test.go
@@ -20,10 +20,6 @@
 func asked(f *follow.Follower, now time.Time) { f.Next(now) }
 
 func TestLent(t *testing.T) {
-	type event struct {
-		ms   int
-		step step
-	}
 	tests := map[string]struct {
 		events   []event
 		keys     []string
@@ -65,10 +61,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := follow.New(follow.Config{})
-			for _, e := range test.events {
-				e.step(f, at(e.ms))
-			}
+			f := played(test.events)
 			if got := keys(f); !slices.Equal(got, test.keys) {
 				t.Errorf("keys %v, want %v", got, test.keys)
 			}
@@ -119,10 +112,6 @@
 }
 
 func TestAsk(t *testing.T) {
-	type event struct {
-		ms   int
-		step step
-	}
 	tests := map[string]struct {
 		events []event
 		// due are the times at which a neighbour is asked, of those looked at.
@@ -174,10 +163,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := follow.New(follow.Config{})
-			for _, e := range test.events {
-				e.step(f, at(e.ms))
-			}
+			f := played(test.events)
 			var due []int
 			for _, ms := range test.look {
 				if f.Ask(at(ms)) {
@@ -215,7 +201,7 @@
 				s.change("a", false)
 				other.Listed(s.page(), now)
 				f.Failed(now)
-				f.Lent(other.Lend(1), "n-1")
+				f.Lent(other.Lend(0, 1), "n-1")
 				before = f.Revision()
 				f.Listed(page, now)
 			case "watch":
@@ -223,14 +209,14 @@
 					changes, asOf := s.since(f.Revision())
 					s.change("b", true)
 					other.Listed(s.page(), now)
-					f.Lent(other.Lend(1), "n-1")
+					f.Lent(other.Lend(0, 1), "n-1")
 					before = f.Revision()
 					f.Watched(changes, asOf, now)
 				}
 			case "fail":
 				f.Failed(now)
 			case "lend":
-				f.Lent(other.Lend(1), "n-1")
+				f.Lent(other.Lend(0, 1), "n-1")
 			}
 			if f.Revision() < before {
 				t.Fatalf("revision %d after %d", f.Revision(), before)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -44,11 +44,22 @@
 func hurried(f *follow.Follower, _ time.Time)   { f.Hurry() }
 func expired(f *follow.Follower, now time.Time) { f.Expire(now) }
 
-func TestFollower(t *testing.T) {
-	type event struct {
-		ms   int
-		step step
+// event is a step at a time in milliseconds.
+type event struct {
+	ms   int
+	step step
+}
+
+// played returns a follower to which events have happened.
+func played(events []event) *follow.Follower {
+	f := follow.New(follow.Config{})
+	for _, e := range events {
+		e.step(f, at(e.ms))
 	}
+	return f
+}
+
+func TestFollower(t *testing.T) {
 	tests := map[string]struct {
 		events []event
 		keys   []string
@@ -135,10 +146,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := follow.New(follow.Config{})
-			for _, e := range test.events {
-				e.step(f, at(e.ms))
-			}
+			f := played(test.events)
 			if got := keys(f); !slices.Equal(got, test.keys) {
 				t.Errorf("keys %v, want %v", got, test.keys)
 			}
--- a/follow/silence_test.go
+++ b/follow/silence_test.go
@@ -27,10 +27,6 @@
 }
 
 func TestHeard(t *testing.T) {
-	type event struct {
-		ms   int
-		step step
-	}
 	listedAt5 := event{0, listed(5, false, item("a", 1))}
 	tests := map[string]struct {
 		events []event
@@ -52,10 +48,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := follow.New(follow.Config{})
-			for _, e := range test.events {
-				e.step(f, at(e.ms))
-			}
+			f := played(test.events)
 			var given []int
 			for _, ms := range test.heard {
 				if f.Heard(test.revision, at(ms)) {
--- a/logline/writer.go
+++ b/logline/writer.go
@@ -4,7 +4,7 @@
 //
 //	w := logline.New(logline.Config{To: os.Stdout})
 //	logger := log.NewWithOptions(w, options)
-//	if w.Allow(logline.Routine, time.Now()) {
+//	if w.Allow(logline.Routine, now) {
 //		logger.Info("A request was answered.", "id", id)
 //	}
 package logline
