--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -165,13 +165,24 @@
 	}
 }
 
+// TestMaxConns: a connection that is still being opened counts towards the limit, and a
+// request that was sent before its caller left may have run. Opening the connection
+// takes a while, so that a test that does not wait for the request to arrive fails.
 func TestMaxConns(t *testing.T) {
-	release := make(chan struct{})
-	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+	const dialTime = 20 * time.Millisecond
+	arrived, release := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		var req fasthttp.Request
+		if req.Read(r) == nil {
+			close(arrived)
+		}
 		<-release
 	})
 	defer close(release)
-	pool := exchange.New(exchange.Config{Address: address, MaxConns: 1})
+	pool := exchange.New(exchange.Config{Address: address, MaxConns: 1, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		time.Sleep(dialTime)
+		return exchange.Dial(ctx, address)
+	}})
 	ctx, cancel := context.WithCancel(context.Background())
 	first := make(chan error, 1)
 	go func() { first <- pool.Do(ctx, newRequest(), &fasthttp.Response{}) }()
@@ -182,6 +193,7 @@
 	if !errors.Is(err, exchange.ErrBusy) || !errors.Is(err, exchange.ErrNotSent) {
 		t.Fatalf("got error %v, want ErrBusy and ErrNotSent", err)
 	}
+	<-arrived
 	cancel()
 	if err := <-first; !errors.Is(err, exchange.ErrResponseLost) || !errors.Is(err, context.Canceled) {
 		t.Fatalf("cancelled request: got error %v, want ErrResponseLost and context.Canceled", err)
