follow: in a large zone one daemon reads the users' store for all

Cause: each daemon watched the store for itself.

Change: in a zone of nine daemons or more the first by rendezvous hashing watches, two more are in reserve, the others poll. Each copy has the age of its confirmation, passed on with it; a daemon whose copy is older than 65 to 75 % of config_apply or drain reads for itself. A daemon whose upstream is not listed yet delays its first watch.

--- a/call/header.go
+++ b/call/header.go
@@ -27,4 +27,8 @@
 	// HeaderCopy asks another daemon for its copy of the store. Its value is the
 	// store revision that the requesting daemon has; an older copy is not sent.
 	HeaderCopy = "Pomelodoor-Copy"
+	// HeaderPoll makes HeaderCopy ask for the changes after its revision. Its value
+	// is how long to wait for one, and how long ago the sender's own copy was
+	// confirmed, both in milliseconds.
+	HeaderPoll = "Pomelodoor-Poll"
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,8 +76,11 @@
 	storeCall *storeCall
 	storeCopy *storeCopy
 	lending   lending
-	dialect   ingress.Dialect
-	control   *peer.Endpoint
+	// copySource is the source of the last answer about the store: the store
+	// itself, or the address of a reader.
+	copySource string
+	dialect    ingress.Dialect
+	control    *peer.Endpoint
 
 	callers  *ingress.Server
 	fromPeer *ingress.Server
@@ -91,6 +94,8 @@
 	// leaving makes every response close its connection. An idle connection could
 	// receive a request just as the ports close.
 	leaving atomic.Bool
+	// stopping is closed when the daemon begins to leave.
+	stopping chan struct{}
 
 	prober *prober
 	ctx    context.Context
@@ -155,6 +160,7 @@
 		dialect:   dialect,
 		storeCall: newStoreCall(),
 		prober:    &prober{},
+		stopping:  make(chan struct{}),
 		ctx:       ctx, stop: stop,
 	}
 	d.burn = burn.New(burn.Config{Instance: settings.Instance, ServiceLevel: d.serviceLevel})
@@ -202,6 +208,7 @@
 func (d *Daemon) Shutdown() error {
 	d.logFor("daemon").Info("The daemon is shutting down.")
 	d.leaving.Store(true)
+	close(d.stopping)
 	d.update(node.Shutdown{})
 	begun := time.Now()
 	for elapsed := time.Duration(0); elapsed < d.settings.portsCloseBy(); elapsed = time.Since(begun) {
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -79,23 +79,28 @@
 		if d.storeCall.takeRestart() {
 			reread = true
 			d.storeCopy.skipWait()
+			d.storeCopy.requestRead()
 		}
+		d.chooseReaders()
 		d.storeCopy.apply(func(f *follow.Follower) bool { return f.Expire(now) })
 		action, failing := d.storeCopy.next(now)
 		if action.Kind == follow.Wait {
 			d.storeCall.wait(d.ctx, action.At.Sub(now))
 			continue
 		}
-		action.Timeout = min(action.Timeout, follow.WatchTimeout(d.otherDaemons()+1))
-		if reread {
-			action.Timeout = 0
+		if action.Kind == follow.Watch {
+			action.Timeout = min(action.Timeout, follow.WatchTimeout(d.otherDaemons()+1))
 		}
+		d.logReading(action)
 		err := d.readStore(action)
 		if errors.Is(err, context.Canceled) {
 			// The daemon cancelled the call itself; the store has not failed.
 			continue
 		}
 		d.logStoreState(failing, err)
+		if action.Kind == follow.List && !d.upstreamListed() {
+			d.storeCopy.delayWatch()
+		}
 		if err == nil && reread && !d.storeCall.restartPending() {
 			reread = false
 			d.update(node.StoreAnswered{})
@@ -134,6 +139,9 @@
 		d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool { return f.Listed(page, now) })
 		return nil
 	}
+	if action.Kind == follow.Poll {
+		return d.pollReader(ctx, action)
+	}
 	changes, asOf, err := d.store.Watch(ctx, platform.AllKeys, action.Revision, action.Timeout)
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
@@ -154,8 +162,8 @@
 // readFailed counts a failed call, unless the daemon cancelled it itself.
 func (d *Daemon) readFailed(ctx context.Context) {
 	if ctx.Err() == nil {
-		d.storeCopy.apply(func(f *follow.Follower) bool {
-			f.Failed(time.Now())
+		d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool {
+			f.Failed(now)
 			return false
 		})
 	}
--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -62,7 +62,9 @@
 	if address == "" {
 		return
 	}
-	c, age, err := d.requestCopy(address, newerThan)
+	ctx, cancel := context.WithTimeout(d.ctx, copyTimeout)
+	defer cancel()
+	c, err := d.requestCopy(ctx, address, newerThan, "")
 	if err != nil {
 		if !d.lending.failureLogged && d.ctx.Err() == nil {
 			d.logFor("store").Warn("Could not borrow a copy of the store from a neighbour.", "from", address, "revision", newerThan, "error", err)
@@ -71,10 +73,10 @@
 		return
 	}
 	d.lending.failureLogged = false
-	if before, applied := d.storeCopy.applyCopy(c, address, age); applied {
+	if before, applied := d.storeCopy.applyCopy(c, address); applied {
 		d.metrics.copiesBorrowed.Add(1)
 		d.logFor("store").Info("Took over a copy of the store from a neighbour.", "from", address, "revision", c.Revision,
-			"revisionBefore", before, "ageMs", age.Milliseconds(), "certain", c.Certain, "keys", len(c.Items))
+			"revisionBefore", before, "ageMs", c.Age.Milliseconds(), "certain", c.Certain, "keys", len(c.Items))
 	}
 }
 
@@ -103,26 +105,34 @@
 	return d.node.PeerCount()
 }
 
-// requestCopy requests the copy of another daemon and returns it with its age. A
-// copy that is not newer has no items.
-func (d *Daemon) requestCopy(address string, newerThan uint64) (follow.Copy, time.Duration, error) {
-	ctx, cancel := context.WithTimeout(d.ctx, copyTimeout)
-	defer cancel()
+// upstreamListed reports whether the store lists the local upstream.
+func (d *Daemon) upstreamListed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.UpstreamListed()
+}
+
+// requestCopy requests the copy of another daemon, or with the value of a poll header
+// its changes. A copy that is not newer has no items.
+func (d *Daemon) requestCopy(ctx context.Context, address string, newerThan uint64, poll string) (follow.Copy, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetRequestURI("/")
 	req.Header.SetHost("pomelodoor")
 	req.Header.Set(call.HeaderCopy, strconv.FormatUint(newerThan, 10))
+	if poll != "" {
+		req.Header.Set(call.HeaderPoll, poll)
+	}
 	if err := d.peers.get(address).Do(ctx, req, resp); err != nil {
-		return follow.Copy{}, 0, fmt.Errorf("request a copy of the store: %w", err)
+		return follow.Copy{}, fmt.Errorf("request a copy of the store: %w", err)
 	}
 	body, err := exchange.ReadBody(resp, maxCopyBytes)
 	if err != nil {
-		return follow.Copy{}, 0, fmt.Errorf("read a copy of the store: %w", err)
+		return follow.Copy{}, fmt.Errorf("read a copy of the store: %w", err)
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
-		return follow.Copy{}, 0, fmt.Errorf("%w: status %d", follow.ErrCopy, status)
+		return follow.Copy{}, fmt.Errorf("%w: status %d", follow.ErrCopy, status)
 	}
 	return follow.DecodeCopy(body)
 }
@@ -135,12 +145,24 @@
 		ctx.Error(call.HeaderCopy+" holds no revision", fasthttp.StatusBadRequest)
 		return
 	}
-	c, age := d.storeCopy.lend(newerThan)
+	var c follow.Copy
+	if poll := ctx.Request.Header.Peek(call.HeaderPoll); poll != nil {
+		wait, age, err := parsePoll(string(poll))
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		c = d.storeCopy.awaitChanges(newerThan, time.Now().Add(-age), wait, d.stopping)
+		c.Leaving = d.leaving.Load()
+		d.closeConnIfLeaving(ctx)
+	} else {
+		c = d.storeCopy.lend(newerThan)
+	}
 	if c.Revision == 0 {
 		ctx.Error("nothing is known of the store yet", fasthttp.StatusServiceUnavailable)
 		return
 	}
-	text, err := follow.EncodeCopy(c, age)
+	text, err := follow.EncodeCopy(c)
 	if err != nil {
 		d.logFor("store").Error("Could not encode the copy of the store for a neighbour.", "revision", c.Revision, "error", err)
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -21,7 +21,9 @@
 	// copiesBorrowed counts the copies of the store taken over from neighbours,
 	// copiesLent those sent to them.
 	copiesBorrowed, copiesLent expvar.Int
-	latencies                  *latencies
+	// polls counts the answers of other daemons that read the store for this one.
+	polls     expvar.Int
+	latencies *latencies
 }
 
 // newMetrics returns the metrics of a daemon, published in one expvar map.
@@ -45,6 +47,11 @@
 	m.vars.Set("probes", &m.probes)
 	m.vars.Set("copiesBorrowed", &m.copiesBorrowed)
 	m.vars.Set("copiesLent", &m.copiesLent)
+	m.vars.Set("storePolls", &m.polls)
+	m.vars.Set("storeCopy", expvar.Func(func() any {
+		age, polls := d.storeCopy.age(time.Now())
+		return map[string]any{"revision": d.storeCopy.revision.Load(), "ageMs": age.Milliseconds(), "polls": polls}
+	}))
 	m.vars.Set("controlBytesOut", expvar.Func(func() any { return d.control.BytesOut() }))
 	m.vars.Set("controlBytesIn", expvar.Func(func() any { return d.control.BytesIn() }))
 	m.vars.Set("controlDropped", expvar.Func(func() any { return d.control.Dropped() }))
--- a/daemon/store_copy.go
+++ b/daemon/store_copy.go
@@ -23,9 +23,9 @@
 	follower  *follow.Follower
 	documents *documentFeed
 	upstreams *upstreamFeed
-	// answeredAt is when the store last answered this daemon or the one that lent
-	// the copy.
-	answeredAt time.Time
+	// renewed is closed, and replaced, when the store or a reader has answered or
+	// has failed to.
+	renewed chan struct{}
 	// complete is true once the node has been sent DocumentsComplete.
 	complete bool
 }
@@ -33,7 +33,8 @@
 func newStoreCopy(d *Daemon) *storeCopy {
 	return &storeCopy{
 		d:         d,
-		follower:  follow.New(follow.Config{Rand: rand.Uint64, WatchDelay: d.settings.watchDelay()}),
+		renewed:   make(chan struct{}),
+		follower:  follow.New(follow.Config{Rand: rand.Uint64, WatchDelay: d.settings.watchDelay(), ApplyWithin: d.settings.bounds.ApplyTimeout}),
 		documents: &documentFeed{d: d, seen: map[string]uint64{}},
 		upstreams: &upstreamFeed{d: d, ports: d.ports(), decoded: map[string]decodedUpstream{}},
 	}
@@ -57,28 +58,33 @@
 	return changed
 }
 
-// applyAnswer applies an answer of the store.
+// applyAnswer applies an answer of the store or of a reader, or its failure, and wakes
+// the polls that wait for it.
 func (s *storeCopy) applyAnswer(change func(f *follow.Follower, now time.Time) bool) {
 	now := time.Now()
-	s.apply(func(f *follow.Follower) bool {
-		s.answeredAt = now
-		return change(f, now)
-	})
+	s.apply(func(f *follow.Follower) bool { return change(f, now) })
+	s.wake()
+}
+
+// wake wakes the polls that wait for an answer.
+func (s *storeCopy) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.renewed)
+	s.renewed = make(chan struct{})
 }
 
-// applyCopy applies a neighbour's copy; age is how long ago the store last
-// answered that neighbour. It returns the revision held before and whether the
-// copy was applied.
-func (s *storeCopy) applyCopy(c follow.Copy, from string, age time.Duration) (before uint64, applied bool) {
+// applyCopy applies a neighbour's copy. It returns the revision held before and
+// whether the copy was applied.
+func (s *storeCopy) applyCopy(c follow.Copy, from string) (before uint64, applied bool) {
 	now := time.Now()
 	applied = s.apply(func(f *follow.Follower) bool {
 		before = f.Revision()
-		if !f.ApplyCopy(c, from) {
-			return false
-		}
-		s.answeredAt = now.Add(-age)
-		return true
+		return f.ApplyCopy(c, from, now)
 	})
+	if applied {
+		s.wake()
+	}
 	return before, applied
 }
 
@@ -90,12 +96,66 @@
 	return s.follower.ObserveRevision(revision, now)
 }
 
-// lend returns the copy and how long ago the store last answered. The copy has no
-// items if it is not newer than a revision.
-func (s *storeCopy) lend(newerThan uint64) (follow.Copy, time.Duration) {
+// lend returns the copy. It has no items if it is not newer than a revision.
+func (s *storeCopy) lend(newerThan uint64) follow.Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower.Lend(newerThan, s.d.otherDaemons(), time.Now())
+}
+
+// awaitChanges waits until the copy has changed since a revision or was confirmed later
+// than a time, and returns the changes. It returns what there is when done is closed
+// or the time is up.
+func (s *storeCopy) awaitChanges(after uint64, confirmedAt time.Time, wait time.Duration, done <-chan struct{}) follow.Copy {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waiting := true; waiting; {
+		s.mu.Lock()
+		answerable, renewed := s.follower.PollAnswerable(after, confirmedAt), s.renewed
+		s.mu.Unlock()
+		if answerable {
+			break
+		}
+		select {
+		case <-renewed:
+		case <-timer.C:
+			waiting = false
+		case <-done:
+			waiting = false
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower.Changes(after, maxChangesBytes, s.d.otherDaemons(), time.Now())
+}
+
+// setReaders sets the daemons that read the store for this one.
+func (s *storeCopy) setReaders(readers []string, shared bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follower.SetReaders(readers, shared)
+}
+
+// delayWatch delays the next watch as after a change.
+func (s *storeCopy) delayWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follower.DelayWatch(time.Now())
+}
+
+// requestRead makes the next action a read of the store that returns at once.
+func (s *storeCopy) requestRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follower.RequestRead()
+}
+
+// age returns the time since the copy was last confirmed to be current, and whether
+// another daemon keeps it current.
+func (s *storeCopy) age(now time.Time) (age time.Duration, polls bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.follower.Lend(newerThan, s.d.otherDaemons()), time.Since(s.answeredAt)
+	return s.follower.Age(now), s.follower.Polls()
 }
 
 func (s *storeCopy) skipWait() {
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -18,14 +18,24 @@
 )
 
 // Copy is a daemon's copy of the store, lent to a daemon that gets no response
-// from the store.
+// from the store, or the changes sent to one that polls.
 type Copy struct {
 	// Revision is the store's revision of the copy. Single items may be newer.
 	Revision uint64
+	// Age is the time since the copy was last confirmed to be current.
+	Age time.Duration
 	// Certain is true if the lender has listed the store itself, or has
 	// borrowed from enough other daemons.
 	Certain bool
-	Items   []Item
+	// Grace is how much longer the lender retains keys that disappeared during a
+	// fault of the store.
+	Grace time.Duration
+	// Leaving is true if the lender is stopping.
+	Leaving bool
+	// ReadStore is true if the changes are too many to send.
+	ReadStore bool
+	// Items are all items of a lent copy, or the changes of a poll.
+	Items []Item
 }
 
 // QueryDue reports whether another daemon is to be queried for its copy now. If
@@ -54,8 +64,8 @@
 // Lend returns the copy for another daemon, without the keys that the store no
 // longer has. It has no items unless its revision is above newerThan. others is the
 // number of other daemons.
-func (f *Follower) Lend(newerThan uint64, others int) Copy {
-	c := Copy{Revision: f.revision, Certain: f.Certain(others)}
+func (f *Follower) Lend(newerThan uint64, others int, now time.Time) Copy {
+	c := Copy{Revision: f.revision, Age: f.Age(now), Certain: f.Certain(others)}
 	if c.Revision <= newerThan {
 		return c
 	}
@@ -72,19 +82,25 @@
 // whether it did. A certain copy counts as one of the required lenders even if it
 // is empty because the lender has nothing newer. The store is still listed as soon
 // as it answers.
-func (f *Follower) ApplyCopy(c Copy, from string) bool {
+func (f *Follower) ApplyCopy(c Copy, from string, now time.Time) bool {
 	if c.Certain {
 		f.lenders[from] = true
 	}
 	if c.Revision <= f.revision || len(c.Items) == 0 {
 		return false
 	}
+	old := f.items
 	f.items = make(map[string]Item, len(c.Items))
 	for _, item := range c.Items {
+		if held := old[item.Key]; held.Revision > item.Revision {
+			item = held
+		}
 		f.items[item.Key] = item
 	}
 	clear(f.retainedUntil)
+	f.forgetHistory(c.Revision)
 	f.revision, f.lentRevision, f.listed = c.Revision, c.Revision, false
+	f.confirmedAt = later(f.confirmedAt, now.Add(-c.Age))
 	return true
 }
 
@@ -107,3 +123,10 @@
 	}
 	f.queryInterval = minQueryInterval
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/follow/copy_test.go
+++ b/follow/copy_test.go
@@ -12,8 +12,8 @@
 
 // copyLent returns a step that lends a copy from another daemon.
 func copyLent(revision uint64, items ...follow.Item) step {
-	return func(f *follow.Follower, _ time.Time) {
-		f.ApplyCopy(follow.Copy{Revision: revision, Items: items}, "n-1")
+	return func(f *follow.Follower, now time.Time) {
+		f.ApplyCopy(follow.Copy{Revision: revision, Items: items}, "n-1", now)
 	}
 }
 
@@ -74,9 +74,9 @@
 
 func TestCertain(t *testing.T) {
 	from := func(names ...string) step {
-		return func(f *follow.Follower, _ time.Time) {
+		return func(f *follow.Follower, now time.Time) {
 			for _, name := range names {
-				f.ApplyCopy(follow.Copy{Revision: 5, Certain: true}, name)
+				f.ApplyCopy(follow.Copy{Revision: 5, Certain: true}, name, now)
 			}
 		}
 	}
@@ -93,9 +93,9 @@
 		"three lenders of nine":           {from("n-1", "n-2", "n-3"), 9, true},
 		"both other daemons":              {from("n-1", "n-2"), 2, true},
 		"only other daemon":               {from("n-1"), 1, true},
-		"three lenders without certainty": {func(f *follow.Follower, _ time.Time) {
+		"three lenders without certainty": {func(f *follow.Follower, now time.Time) {
 			for _, name := range []string{"n-1", "n-2", "n-3"} {
-				f.ApplyCopy(follow.Copy{Revision: 5, Items: []follow.Item{item("a", 1)}}, name)
+				f.ApplyCopy(follow.Copy{Revision: 5, Items: []follow.Item{item("a", 1)}}, name, now)
 			}
 		}, 9, false},
 		"one lender, no other daemon known": {from("n-1"), 0, true},
@@ -201,7 +201,7 @@
 				s.change("a", false)
 				lender.Listed(s.page(), now)
 				f.Failed(now)
-				f.ApplyCopy(lender.Lend(0, 1), "n-1")
+				f.ApplyCopy(lender.Lend(0, 1, now), "n-1", now)
 				before = f.Revision()
 				f.Listed(page, now)
 			case "watch":
@@ -209,14 +209,14 @@
 					changes, asOf := s.changesAfter(f.Revision())
 					s.change("b", true)
 					lender.Listed(s.page(), now)
-					f.ApplyCopy(lender.Lend(0, 1), "n-1")
+					f.ApplyCopy(lender.Lend(0, 1, now), "n-1", now)
 					before = f.Revision()
 					f.Watched(changes, asOf, now)
 				}
 			case "fail":
 				f.Failed(now)
 			case "lend":
-				f.ApplyCopy(lender.Lend(0, 1), "n-1")
+				f.ApplyCopy(lender.Lend(0, 1, now), "n-1", now)
 			}
 			if f.Revision() < before {
 				t.Fatalf("revision went back: got %d, want at least %d", f.Revision(), before)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -22,6 +22,11 @@
 	// further failure, up to maxBackoff.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 1600 * time.Millisecond
+	// pollerBackoffFactor lengthens the backoff of daemons that poll readers:
+	// those tell them when the store responds again.
+	pollerBackoffFactor = 4
+	// maxTombstones limits the removed keys that are remembered.
+	maxTombstones = 4096
 )
 
 // Config configures a Follower. Zero durations select the defaults.
@@ -33,7 +38,9 @@
 	// Retention is how long a key that disappeared during a store fault is retained
 	// after the store recovers.
 	Retention time.Duration
-	// Rand returns uniform random numbers for the backoff jitter; nil disables it.
+	// ApplyWithin is the time within which a change in the store must take effect.
+	ApplyWithin time.Duration
+	// Rand returns uniform random numbers for the jitter; nil disables it.
 	Rand func() uint64
 }
 
@@ -46,6 +53,9 @@
 	List Kind = "list"
 	// Watch waits up to Action.Timeout for changes after Action.Revision.
 	Watch Kind = "watch"
+	// Poll waits up to Action.Timeout for the daemon Action.Reader to hold changes
+	// after Action.Revision, or a later confirmation.
+	Poll Kind = "poll"
 	// Wait does nothing until Action.At.
 	Wait Kind = "wait"
 )
@@ -54,6 +64,7 @@
 type Action struct {
 	Kind     Kind
 	After    string
+	Reader   string
 	Revision uint64
 	Timeout  time.Duration
 	At       time.Time
@@ -89,6 +100,19 @@
 	revision     uint64 // revision of the copy, from which to watch
 	listRevision uint64 // revision of the first page of the list in progress
 
+	// confirmedAt is the time as of which the copy is known to have been current.
+	confirmedAt time.Time
+	// tombstones holds the revisions at which keys were removed after historyFrom.
+	tombstones  map[string]uint64
+	historyFrom uint64
+
+	readers       []string
+	shared        bool
+	suspects      map[string]suspect
+	nextPollAt    time.Time
+	readRequested bool
+	directJitter  time.Duration
+
 	everListed bool
 	// lenders are the other daemons that have lent a certain copy.
 	lenders map[string]bool
@@ -125,12 +149,20 @@
 	if cfg.Retention == 0 {
 		cfg.Retention = DefaultRetention
 	}
-	return &Follower{cfg: cfg, items: map[string]Item{}, retainedUntil: map[string]time.Time{}, lenders: map[string]bool{}}
+	if cfg.ApplyWithin == 0 {
+		cfg.ApplyWithin = DefaultApplyWithin
+	}
+	return &Follower{
+		cfg: cfg, items: map[string]Item{}, retainedUntil: map[string]time.Time{}, lenders: map[string]bool{},
+		tombstones: map[string]uint64{}, suspects: map[string]suspect{},
+	}
 }
 
-// Next returns the next action. It must not be called while a List or a Watch is in
-// progress.
+// Next returns the next action. It must not be called while an action is in progress.
 func (f *Follower) Next(now time.Time) Action {
+	if f.Polls() {
+		return f.nextPoll(now)
+	}
 	if now.Before(f.notBefore) {
 		return Action{Kind: Wait, At: f.notBefore}
 	}
@@ -138,7 +170,10 @@
 		f.awaitAnswer(now)
 		return Action{Kind: List, After: f.lastKey}
 	}
-	wait := f.cfg.WatchTimeout
+	if f.readRequested {
+		return f.read()
+	}
+	wait := f.watchTimeout(now)
 	if expiry, ok := f.nextExpiry(); ok {
 		wait = min(wait, max(expiry.Sub(now), 0))
 	}
@@ -166,6 +201,8 @@
 		return false
 	}
 	f.replace(f.pendingItems, now)
+	f.forgetHistory(f.listRevision)
+	f.confirm(now)
 	f.lentRevision, f.everListed = 0, true
 	f.listed, f.pendingItems, f.lastKey, f.revision = true, nil, "", f.listRevision
 	return true
@@ -175,27 +212,55 @@
 // has changed.
 func (f *Follower) Watched(changes []Item, asOf uint64, now time.Time) bool {
 	f.answered(now)
-	previous := f.revision
-	f.revision = max(f.revision, asOf)
+	f.confirm(now)
 	changed := f.expire(now)
+	changed = f.applyChanges(changes, now) || changed
+	f.revision = max(f.revision, asOf)
+	if changed {
+		f.notBefore = now.Add(f.watchDelay())
+	}
+	return changed
+}
+
+// applyChanges applies the changes that are later than the copy, and reports whether
+// there were any.
+func (f *Follower) applyChanges(changes []Item, now time.Time) bool {
+	changed := false
 	for _, item := range changes {
-		if item.Revision <= max(previous, f.items[item.Key].Revision) {
+		if item.Revision <= max(f.revision, f.items[item.Key].Revision, f.tombstones[item.Key]) {
 			continue
 		}
 		changed = true
 		if item.Deleted {
+			f.tombstones[item.Key] = item.Revision
 			f.remove(item.Key, now)
 			continue
 		}
 		f.items[item.Key] = item
+		delete(f.tombstones, item.Key)
 		delete(f.retainedUntil, item.Key)
 	}
-	if changed {
-		f.notBefore = now.Add(f.cfg.WatchDelay)
+	if len(f.tombstones) > maxTombstones {
+		f.forgetHistory(f.revision)
 	}
 	return changed
 }
 
+// forgetHistory drops the removals up to a revision, which others must then read from
+// the store.
+func (f *Follower) forgetHistory(revision uint64) {
+	clear(f.tombstones)
+	f.historyFrom = revision
+}
+
+// DelayWatch delays the next watch as after a change. A daemon whose upstream is not
+// listed yet has nothing to serve, and more of the list to come.
+func (f *Follower) DelayWatch(now time.Time) {
+	if f.listed {
+		f.notBefore = now.Add(f.watchDelay())
+	}
+}
+
 // SkipDelay cancels the delay after a change, so that the next call is due now. The
 // backoff after a failure is not shortened.
 func (f *Follower) SkipDelay() {
@@ -210,19 +275,23 @@
 	f.listed, f.pendingItems, f.lastKey = false, nil, ""
 }
 
-// Failed records that a List or a Watch failed. The whole store is listed again: an
-// interrupted watch may have missed the last changes, and a list returns at once
-// when the store has recovered.
+// Failed records that a List or a Watch failed. A daemon that reads for itself lists the
+// whole store again: an interrupted watch may have missed the last changes, and a list
+// returns at once when the store has recovered.
 func (f *Follower) Failed(now time.Time) {
 	f.inFault = true
 	f.behindSince, f.watchAbandoned = time.Time{}, false
 	f.failures++
 	backoff := min(minBackoff<<min(f.failures-1, 8), maxBackoff)
+	if f.Polls() {
+		backoff *= pollerBackoffFactor
+	} else {
+		f.listed, f.pendingItems, f.lastKey = false, nil, ""
+	}
 	if f.cfg.Rand != nil {
 		backoff = backoff/2 + time.Duration(f.cfg.Rand()%uint64(backoff))
 	}
 	f.notBefore = now.Add(backoff)
-	f.listed, f.pendingItems, f.lastKey = false, nil, ""
 	f.awaitAnswer(now)
 }
 
--- a/follow/message.go
+++ b/follow/message.go
@@ -14,23 +14,31 @@
 type copyMessage struct {
 	Revision uint64 `json:"revision"`
 	// AgeMs is the time since the store last responded to the lender.
-	AgeMs   int64         `json:"ageMs"`
-	Certain bool          `json:"certain"`
-	Items   []itemMessage `json:"items"`
+	AgeMs   int64 `json:"ageMs"`
+	Certain bool  `json:"certain"`
+	// The remaining fields are those of answers to polls.
+	GraceMs   int64         `json:"graceMs,omitempty"`
+	Leaving   bool          `json:"leaving,omitempty"`
+	ReadStore bool          `json:"readStore,omitempty"`
+	Items     []itemMessage `json:"items"`
 }
 
 type itemMessage struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
 	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-// EncodeCopy returns the message for a copy; age is the time since the store last
-// responded.
-func EncodeCopy(c Copy, age time.Duration) ([]byte, error) {
-	m := copyMessage{Revision: c.Revision, AgeMs: age.Milliseconds(), Certain: c.Certain, Items: make([]itemMessage, 0, len(c.Items))}
+// EncodeCopy returns the message for a copy.
+func EncodeCopy(c Copy) ([]byte, error) {
+	m := copyMessage{
+		Revision: c.Revision, AgeMs: c.Age.Milliseconds(), Certain: c.Certain,
+		GraceMs: c.Grace.Milliseconds(), Leaving: c.Leaving, ReadStore: c.ReadStore,
+		Items: make([]itemMessage, 0, len(c.Items)),
+	}
 	for _, item := range c.Items {
-		m.Items = append(m.Items, itemMessage{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		m.Items = append(m.Items, itemMessage{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
 	text, err := json.Marshal(m)
 	if err != nil {
@@ -39,22 +47,28 @@
 	return text, nil
 }
 
-// DecodeCopy decodes a message with a copy and returns the copy and its age. Errors
-// wrap ErrCopy.
-func DecodeCopy(text []byte) (Copy, time.Duration, error) {
+// maxGrace limits the grace period that a message may announce.
+const maxGrace = time.Minute
+
+// DecodeCopy decodes a message with a copy. Errors wrap ErrCopy.
+func DecodeCopy(text []byte) (Copy, error) {
 	var m copyMessage
 	if err := json.Unmarshal(text, &m); err != nil {
-		return Copy{}, 0, fmt.Errorf("%w: %w", ErrCopy, err)
+		return Copy{}, fmt.Errorf("%w: %w", ErrCopy, err)
+	}
+	if m.Revision == 0 || m.AgeMs < 0 || m.GraceMs < 0 || m.GraceMs > maxGrace.Milliseconds() {
+		return Copy{}, fmt.Errorf("%w: revision %d, age %d ms, grace %d ms", ErrCopy, m.Revision, m.AgeMs, m.GraceMs)
 	}
-	if m.Revision == 0 || m.AgeMs < 0 {
-		return Copy{}, 0, fmt.Errorf("%w: revision %d, age %d ms", ErrCopy, m.Revision, m.AgeMs)
+	c := Copy{
+		Revision: m.Revision, Age: time.Duration(min(m.AgeMs, maxCopyAge.Milliseconds())) * time.Millisecond, Certain: m.Certain,
+		Grace: time.Duration(m.GraceMs) * time.Millisecond, Leaving: m.Leaving, ReadStore: m.ReadStore,
+		Items: make([]Item, 0, len(m.Items)),
 	}
-	c := Copy{Revision: m.Revision, Certain: m.Certain, Items: make([]Item, 0, len(m.Items))}
 	for _, item := range m.Items {
 		if item.Key == "" || item.Revision == 0 {
-			return Copy{}, 0, fmt.Errorf("%w: item %q of revision %d", ErrCopy, item.Key, item.Revision)
+			return Copy{}, fmt.Errorf("%w: item %q of revision %d", ErrCopy, item.Key, item.Revision)
 		}
-		c.Items = append(c.Items, Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		c.Items = append(c.Items, Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
-	return c, time.Duration(m.AgeMs) * time.Millisecond, nil
+	return c, nil
 }
--- /dev/null
+++ b/follow/reader.go
@@ -0,0 +1,236 @@
+package follow
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// In a large availability zone one daemon watches the store for all, and a second one
+// takes over when that is lost. The others poll one of these readers: a poll waits at the
+// reader until its copy is newer or has been confirmed again. A copy is confirmed as of the time at which the store last
+// said what is current. Whoever relays it says how old that is, so that a daemon whose
+// readers are lost, cut off or slow notices by the age of its own copy, and reads the
+// store itself before a change could be overdue.
+const (
+	// DefaultApplyWithin is the default of Config.ApplyWithin.
+	DefaultApplyWithin = 3 * time.Second
+	// The parts of Config.ApplyWithin, in percent: how long a reader leaves a copy
+	// unconfirmed, how long it delays the next watch after a change, the age at
+	// which the second reader takes over, and that at which any daemon reads the
+	// store itself.
+	readIntervalPercent = 50
+	readDelayPercent    = 35
+	takeOverPercent     = 58
+	maxAgePercent       = 65
+	// minSuspicion is how long a reader that did not answer, or whose copy is too
+	// old, is not polled again; it doubles with each failure in a row, up to
+	// maxSuspicion.
+	minSuspicion = 2 * time.Second
+	maxSuspicion = 30 * time.Second
+	// maxCopyAge is the age of a copy that was never confirmed.
+	maxCopyAge = 24 * time.Hour
+	// minPollInterval limits the rate of polls to a reader that returns at once.
+	minPollInterval = 100 * time.Millisecond
+	// minConfirmGain is how much later than its peer's a reader's confirmation must
+	// be for a poll to be answered at once.
+	minConfirmGain = 100 * time.Millisecond
+	// maxDirectSpreadPercent is the part of Config.ApplyWithin, in percent, over which the
+	// daemons that have lost their readers spread their reads.
+	maxDirectSpreadPercent = 10
+)
+
+func (c Config) percent(n int) time.Duration { return c.ApplyWithin * time.Duration(n) / 100 }
+
+// SetReaders sets the daemons that this one polls, in order of preference. Without any,
+// it watches the store itself. shared is true if others poll this daemon: it then watches
+// the store as soon as it can poll nobody.
+func (f *Follower) SetReaders(readers []string, shared bool) {
+	f.readers, f.shared = readers, shared
+	maps.DeleteFunc(f.suspects, func(reader string, _ suspect) bool { return !slices.Contains(readers, reader) })
+}
+
+// ConfirmedAt returns the time as of which the copy is known to have been current.
+func (f *Follower) ConfirmedAt() time.Time { return f.confirmedAt }
+
+// Polls reports whether the copy is kept current by another daemon.
+func (f *Follower) Polls() bool { return len(f.readers) > 0 && f.listed }
+
+// RequestRead makes the next action a read of the store that returns at once.
+func (f *Follower) RequestRead() { f.readRequested = true }
+
+// nextPoll returns the next action of a daemon that polls readers.
+func (f *Follower) nextPoll(now time.Time) Action {
+	if f.readRequested && !f.inFault {
+		return f.read()
+	}
+	readAt := f.confirmedAt.Add(f.cfg.percent(maxAgePercent) + f.directJitter)
+	if f.shared {
+		readAt = f.confirmedAt.Add(f.cfg.percent(takeOverPercent))
+	}
+	if f.inFault {
+		readAt = f.notBefore
+	}
+	if !now.Before(readAt) {
+		return f.read()
+	}
+	if now.Before(f.nextPollAt) {
+		return Action{Kind: Wait, At: earlier(f.nextPollAt, readAt)}
+	}
+	if readAt.Sub(now) < minPollInterval {
+		return Action{Kind: Wait, At: readAt}
+	}
+	reader, usableAt := f.usableReader(now)
+	if reader == "" && f.shared && !f.inFault {
+		return Action{Kind: Watch, Revision: f.revision, Timeout: f.watchTimeout(now)}
+	}
+	if reader == "" {
+		return Action{Kind: Wait, At: earlier(usableAt, readAt)}
+	}
+	f.nextPollAt = now.Add(minPollInterval)
+	return Action{Kind: Poll, Reader: reader, Revision: f.revision, Timeout: readAt.Sub(now)}
+}
+
+// read returns a read of the changes that waits for nothing.
+func (f *Follower) read() Action { return Action{Kind: Watch, Revision: f.revision} }
+
+// usableReader returns the first reader that is not suspected, or the time at which one
+// can be polled again.
+func (f *Follower) usableReader(now time.Time) (reader string, usableAt time.Time) {
+	for _, r := range f.readers {
+		until := f.suspects[r].until
+		if !now.Before(until) {
+			return r, time.Time{}
+		}
+		if usableAt.IsZero() || until.Before(usableAt) {
+			usableAt = until
+		}
+	}
+	return "", usableAt
+}
+
+// suspect is a reader that has failed.
+type suspect struct {
+	failures int
+	until    time.Time
+}
+
+func (f *Follower) suspectReader(reader string, now time.Time) {
+	s := f.suspects[reader]
+	s.until = now.Add(min(minSuspicion<<min(s.failures, 8), maxSuspicion))
+	s.failures++
+	f.suspects[reader] = s
+}
+
+// watchTimeout returns how long the next watch of a daemon that reads for others waits.
+func (f *Follower) watchTimeout(now time.Time) time.Duration {
+	if !f.shared {
+		return f.cfg.WatchTimeout
+	}
+	return max(f.confirmedAt.Add(f.cfg.percent(readIntervalPercent)).Sub(now), 0)
+}
+
+// watchDelay returns how long the next watch is delayed after a change.
+func (f *Follower) watchDelay() time.Duration {
+	switch {
+	case f.Polls():
+		return 0
+	case f.shared:
+		return f.cfg.percent(readDelayPercent)
+	}
+	return f.cfg.WatchDelay
+}
+
+// Polled applies a reader's answer to a poll. It reports whether the copy may have
+// changed.
+func (f *Follower) Polled(c Copy, from string, now time.Time) bool {
+	age := c.Age
+	if c.Leaving || age >= f.cfg.percent(maxAgePercent) {
+		f.suspectReader(from, now)
+	} else {
+		delete(f.suspects, from)
+	}
+	if c.ReadStore {
+		f.readRequested = true
+		return false
+	}
+	if grace := now.Add(c.Grace); c.Grace > 0 && grace.After(f.graceUntil) {
+		f.graceUntil = grace
+	}
+	changed := f.expire(now)
+	if c.Revision > f.revision {
+		changed = f.applyChanges(c.Items, now) || changed
+		f.revision = c.Revision
+		f.nextPollAt = time.Time{}
+	}
+	if confirmed := now.Add(-age); age < f.cfg.percent(maxAgePercent) && confirmed.After(f.confirmedAt) {
+		f.answered(now)
+		f.confirm(confirmed)
+	}
+	return changed
+}
+
+// PollFailed records that a reader did not answer a poll.
+func (f *Follower) PollFailed(from string, now time.Time) {
+	f.suspectReader(from, now)
+	f.nextPollAt = time.Time{}
+}
+
+// PollAnswerable reports whether a poll of a daemon that holds a revision, confirmed
+// at the given time, is to be answered at once.
+func (f *Follower) PollAnswerable(revision uint64, confirmedAt time.Time) bool {
+	return f.revision > revision || f.confirmedAt.Sub(confirmedAt) > minConfirmGain
+}
+
+// Changes returns the changes after a revision, for a poll. If they are not known or
+// exceed maxBytes, the copy tells the other daemon to read the store.
+func (f *Follower) Changes(after uint64, maxBytes int, others int, now time.Time) Copy {
+	c := Copy{Revision: f.revision, Age: f.Age(now), Certain: f.Certain(others), Grace: max(f.graceUntil.Sub(now), 0)}
+	if f.revision <= after {
+		return c
+	}
+	if after < f.historyFrom {
+		return Copy{Revision: f.revision, Age: c.Age, ReadStore: true}
+	}
+	size := 0
+	for _, item := range f.items {
+		if _, retained := f.retainedUntil[item.Key]; item.Revision > after && !retained {
+			size += len(item.Key) + len(item.Value)
+			c.Items = append(c.Items, item)
+		}
+	}
+	for key, revision := range f.tombstones {
+		if revision > after {
+			size += len(key)
+			c.Items = append(c.Items, Item{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	if size > maxBytes {
+		return Copy{Revision: f.revision, Age: c.Age, ReadStore: true}
+	}
+	return c
+}
+
+// Age returns the time since the copy was last confirmed, 24 h if it never was.
+func (f *Follower) Age(now time.Time) time.Duration {
+	return min(max(now.Sub(f.confirmedAt), 0), maxCopyAge)
+}
+
+// confirm records as of when the copy is current. The age at which this daemon would
+// read the store itself is drawn anew, so that those that lose a reader at the same
+// moment do not all read at once.
+func (f *Follower) confirm(at time.Time) {
+	f.confirmedAt = at
+	f.readRequested = false
+	f.directJitter = 0
+	if spread := f.cfg.percent(maxDirectSpreadPercent); f.cfg.Rand != nil && spread > 0 {
+		f.directJitter = time.Duration(f.cfg.Rand() % uint64(spread))
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/follow/watch.go
+++ b/follow/watch.go
@@ -32,7 +32,8 @@
 	if !f.unansweredSince.IsZero() {
 		f.advanceQuery(now)
 	}
-	if !f.listed || f.watchAbandoned {
+	if !f.listed || f.watchAbandoned || f.Polls() {
+		// A reader's answers say how old its copy may be.
 		return false
 	}
 	if now.Before(f.notBefore) {
--- a/follow/watch_test.go
+++ b/follow/watch_test.go
@@ -72,3 +72,14 @@
 		t.Fatal("want a query exactly 300 ms after the watch is abandoned")
 	}
 }
+
+// TestPollerIgnoresOthersRevisions: a reader delays its next watch after a change, and so
+// lags behind other zones for a while.
+func TestPollerIgnoresOthersRevisions(t *testing.T) {
+	f := poller()
+	for _, ms := range []int{100, 600, 1200} {
+		if f.ObserveRevision(6, at(ms)) {
+			t.Fatalf("got a restart after %d ms, want none", ms)
+		}
+	}
+}
--- a/membership/overlay.go
+++ b/membership/overlay.go
@@ -25,8 +25,10 @@
 	live    int
 	zones   int
 	// zoneRank is this daemon's rank by weight among the live instances of its
-	// zone.
-	zoneRank int
+	// zone, of which there are zoneLive; zoneHeaviest are the first of them.
+	zoneRank     int
+	zoneLive     int
+	zoneHeaviest candidates
 }
 
 // zoneID identifies an availability zone; two regions may use the same zone
@@ -100,6 +102,17 @@
 	return v.refresh().zoneRank < perZone
 }
 
+// Readers returns the instances of this daemon's zone that read the platform for it,
+// as IsReader chooses them, and the number of live instances in the zone. At most
+// maxReaders are returned.
+func (v *View) Readers(perZone int) (readers []Record, zoneLive int) {
+	o := v.refresh()
+	return o.zoneHeaviest[:min(len(o.zoneHeaviest), perZone)].records(), o.zoneLive
+}
+
+// maxReaders bounds the instances that Readers returns.
+const maxReaders = 4
+
 // maxLeavingReaders bounds the daemons that read because no instance is live.
 const maxLeavingReaders = 64
 
@@ -137,6 +150,10 @@
 		o.present = append(o.present, m)
 		if m.State == Live {
 			o.live++
+			if m.zoneID() == self.zoneID() {
+				o.zoneLive++
+				o.zoneHeaviest.add(candidate{m, mix(zoneHash, m.hash)}, maxReaders)
+			}
 		}
 		if m == self {
 			continue
--- a/node/direct.go
+++ b/node/direct.go
@@ -154,9 +154,43 @@
 	return append(out, n.applyLimits(now)...)
 }
 
+// UpstreamListed reports whether the store lists the local upstream.
+func (n *Node) UpstreamListed() bool { return n.view.Self().State != membership.Gone }
+
 // PeerCount returns the number of other known daemons.
 func (n *Node) PeerCount() int { return n.view.PeerCount() }
 
+// minSharedZone is the number of live daemons in an availability zone from which on a
+// few read the store for all. In a smaller zone each reads for itself: that saves the
+// detour, and costs few calls.
+const minSharedZone = 9
+
+// storeReadersPerZone is the number of daemons of a zone that others poll. The first of
+// them reads the store, and each of the others once those before it are lost.
+const storeReadersPerZone = 3
+
+// StoreReaders returns the daemons of the availability zone that read the store for
+// this one, in order of preference. Without any, this daemon reads for itself. shared
+// is true if it is one of those that others poll.
+func (n *Node) StoreReaders() (readers []membership.Instance, shared bool) {
+	chosen, zoneLive := n.view.Readers(storeReadersPerZone)
+	if zoneLive < minSharedZone {
+		return nil, false
+	}
+	for _, r := range chosen {
+		if r.ID == n.self() {
+			return readers, true
+		}
+		readers = append(readers, r.Instance)
+	}
+	if n.cfg.Incarnation%2 == 1 {
+		// Half of the daemons prefer the second reader, to which the first passes on
+		// what it reads.
+		readers[0], readers[1] = readers[1], readers[0]
+	}
+	return readers, false
+}
+
 // CopyLender returns a daemon that may have a newer copy of the store, or false if
 // no other is known. Every second one is chosen from the whole fleet, because
 // an entire zone may have lost the store.
