platform: one odd item of the store no longer hides the others

Cause: a page was decoded as a whole, so one item whose value is not base64, whose revision is 1e30, or in which 20,000 brackets are nested (encoding/json stops at 10,000) made List and Watch fail for as long as it stood: nobody listed again. Entries could also name slots, a start or a cold time out of any range, port 0 or the address 0.0.0.0. Ruled out: endless recursion in the documents' parser, which checks the syntax, and so the depth, before it descends.

Change: a response is split without recursion and each item decoded for itself; what cannot be used is named in the log.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -156,13 +156,13 @@
 		upstream:  exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: defaultUpstreamConns, MatchesRequest: dialect.MatchesRequest}),
 		peers:     newPools(overrides.Dial),
 		registry:  registry.New(registry.Config{Addresses: settings.Platform}),
-		store:     platform.New(platform.Config{Address: settings.Store}),
 		dialect:   dialect,
 		storeCall: newStoreCall(),
 		prober:    &prober{},
 		stopping:  make(chan struct{}),
 		ctx:       ctx, stop: stop,
 	}
+	d.store = platform.New(platform.Config{Address: settings.Store, ReportOdd: d.logOddItem})
 	d.burn = burn.New(burn.Config{Instance: settings.Instance, ServiceLevel: d.serviceLevel})
 	d.metrics = newMetrics(d)
 	d.storeCopy = newStoreCopy(d)
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -81,3 +81,8 @@
 	}
 	return decodedUpstream{revision: item.Revision, entry: entry, ok: err == nil}
 }
+
+// logOddItem logs an item of the store that cannot be used.
+func (d *Daemon) logOddItem(err error) {
+	d.logFor("store").Warn("An item of the store cannot be used.", "error", err)
+}
