--- a/cmd/pomelodoor/status.go
+++ b/cmd/pomelodoor/status.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -28,22 +29,14 @@
 type statusCommand struct {
 	JSON    bool     `arg:"--json" help:"print JSON"`
 	Compare bool     `arg:"--compare" help:"print a line for each group of daemons that hold the same"`
+	Summary bool     `arg:"--summary" help:"print a summary and the daemons that stand out"`
 	Admin   []string `arg:"positional,required" placeholder:"IP:PORT" help:"admin addresses of daemons"`
 }
 
 // run prints the status of the daemons. A daemon that cannot be queried is a fault,
 // and so are differences between daemons when they are compared.
 func (c *statusCommand) run(out io.Writer) error {
-	statuses := map[string]node.Status{}
-	var failures []error
-	for _, address := range c.Admin {
-		var s node.Status
-		if err := getJSON(address, "/status", &s); err != nil {
-			failures = append(failures, err)
-			continue
-		}
-		statuses[s.Instance] = s
-	}
+	statuses, failures := queryStatuses(c.Admin)
 	same, err := c.print(out, statuses)
 	if err != nil {
 		return fmt.Errorf("print status: %w", err)
@@ -57,6 +50,39 @@
 	return nil
 }
 
+// maxQueries limits the daemons that are queried at the same time.
+const maxQueries = 32
+
+// queryStatuses queries daemons and returns their statuses by name, and an error for
+// each that cannot be queried.
+func queryStatuses(addresses []string) (map[string]node.Status, []error) {
+	type answer struct {
+		status node.Status
+		err    error
+	}
+	answers := make([]answer, len(addresses))
+	var queries sync.WaitGroup
+	running := make(chan struct{}, maxQueries)
+	for i, address := range addresses {
+		running <- struct{}{}
+		queries.Go(func() {
+			answers[i].err = getJSON(address, "/status", &answers[i].status)
+			<-running
+		})
+	}
+	queries.Wait()
+	statuses := map[string]node.Status{}
+	var failures []error
+	for _, a := range answers {
+		if a.err != nil {
+			failures = append(failures, a.err)
+			continue
+		}
+		statuses[a.status.Instance] = a.status
+	}
+	return statuses, failures
+}
+
 // print writes the statuses in the selected format. It returns false if they were
 // compared and differ.
 func (c *statusCommand) print(out io.Writer, statuses map[string]node.Status) (same bool, err error) {
@@ -70,6 +96,8 @@
 		comparison := config.Compare(configurations)
 		_, err = fmt.Fprint(out, comparison)
 		return comparison.Same(), err
+	case c.Summary:
+		return true, writeSummary(out, statuses, c.JSON)
 	case c.JSON:
 		for _, name := range names {
 			if err := json.NewEncoder(out).Encode(statuses[name]); err != nil {
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -28,6 +28,10 @@
 // Status returns the daemon's status for operators.
 func (d *Daemon) Status() node.Status {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.node.Status(time.Now())
+	status := d.node.Status(time.Now())
+	d.mu.Unlock()
+	if d.settings.direct() {
+		status.Store = d.storeCopy.status(time.Now())
+	}
+	return status
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,11 +76,8 @@
 	storeCall *storeCall
 	storeCopy *storeCopy
 	lending   lending
-	// copySource is the source of the last answer about the store: the store
-	// itself, or the address of a reader.
-	copySource string
-	dialect    ingress.Dialect
-	control    *peer.Endpoint
+	dialect   ingress.Dialect
+	control   *peer.Endpoint
 
 	callers  *ingress.Server
 	fromPeer *ingress.Server
@@ -207,8 +204,9 @@
 // enough for the running ones to finish.
 func (d *Daemon) Shutdown() error {
 	d.logFor("daemon").Info("The daemon is shutting down.")
-	d.leaving.Store(true)
-	close(d.stopping)
+	if !d.leaving.Swap(true) {
+		close(d.stopping)
+	}
 	d.update(node.Shutdown{})
 	begun := time.Now()
 	for elapsed := time.Duration(0); elapsed < d.settings.portsCloseBy(); elapsed = time.Since(begun) {
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -91,7 +91,7 @@
 		if action.Kind == follow.Watch {
 			action.Timeout = min(action.Timeout, follow.WatchTimeout(d.otherDaemons()+1))
 		}
-		d.logReading(action)
+		d.logSource(action)
 		err := d.readStore(action)
 		if errors.Is(err, context.Canceled) {
 			// The daemon cancelled the call itself; the store has not failed.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -48,10 +48,7 @@
 	m.vars.Set("copiesBorrowed", &m.copiesBorrowed)
 	m.vars.Set("copiesLent", &m.copiesLent)
 	m.vars.Set("storePolls", &m.polls)
-	m.vars.Set("storeCopy", expvar.Func(func() any {
-		age, polls := d.storeCopy.age(time.Now())
-		return map[string]any{"revision": d.storeCopy.revision.Load(), "ageMs": age.Milliseconds(), "polls": polls}
-	}))
+	m.vars.Set("storeCopy", expvar.Func(func() any { return d.storeCopy.status(time.Now()) }))
 	m.vars.Set("controlBytesOut", expvar.Func(func() any { return d.control.BytesOut() }))
 	m.vars.Set("controlBytesIn", expvar.Func(func() any { return d.control.BytesIn() }))
 	m.vars.Set("controlDropped", expvar.Func(func() any { return d.control.Dropped() }))
--- a/daemon/polling.go
+++ b/daemon/polling.go
@@ -31,7 +31,7 @@
 func (d *Daemon) pollReader(ctx context.Context, action follow.Action) error {
 	ctx, cancel := context.WithTimeout(ctx, action.Timeout)
 	defer cancel()
-	age, _ := d.storeCopy.age(time.Now())
+	age := d.storeCopy.age(time.Now())
 	c, err := d.requestCopy(ctx, action.Reader, action.Revision, formatPoll(max(action.Timeout-pollMargin, 0), age))
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
@@ -56,19 +56,19 @@
 	return nil
 }
 
-// logReading logs a change in how this daemon keeps its copy of the store current.
-func (d *Daemon) logReading(action follow.Action) {
-	source := "store"
+// sourceStore is the source of a copy that this daemon reads itself.
+const sourceStore = "store"
+
+// logSource logs a change of the source that keeps the copy of the store current.
+func (d *Daemon) logSource(action follow.Action) {
+	source := sourceStore
 	if action.Kind == follow.Poll {
 		source = action.Reader
 	}
-	if source == d.copySource {
-		return
+	if d.storeCopy.setSource(source) {
+		d.logFor("store").Info("The copy of the store has a new source.", "source", source,
+			"revision", action.Revision, "ageMs", ms(d.storeCopy.age(time.Now())))
 	}
-	d.copySource = source
-	age, _ := d.storeCopy.age(time.Now())
-	d.logFor("store").Info("The copy of the store is kept current from another source.", "source", source,
-		"revision", action.Revision, "ageMs", ms(age))
 }
 
 // chooseReaders tells the follower which daemons read the store for this one.
--- a/daemon/store_copy.go
+++ b/daemon/store_copy.go
@@ -23,6 +23,8 @@
 	follower  *follow.Follower
 	documents *documentFeed
 	upstreams *upstreamFeed
+	// source is "store", or the address of the reader that keeps the copy current.
+	source string
 	// renewed is closed, and replaced, when the store or a reader has answered or
 	// has failed to.
 	renewed chan struct{}
@@ -150,12 +152,28 @@
 	s.follower.RequestRead()
 }
 
-// age returns the time since the copy was last confirmed to be current, and whether
-// another daemon keeps it current.
-func (s *storeCopy) age(now time.Time) (age time.Duration, polls bool) {
+// age returns the time since the copy was last confirmed to be current.
+func (s *storeCopy) age(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.follower.Age(now), s.follower.Polls()
+	return s.follower.Age(now)
+}
+
+// status describes the copy for operators.
+func (s *storeCopy) status(now time.Time) *node.StoreStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &node.StoreStatus{Revision: s.follower.Revision(), AgeMs: s.follower.Age(now).Milliseconds(), Source: s.source}
+}
+
+// setSource records where the next answer about the store comes from, and reports
+// whether that has changed.
+func (s *storeCopy) setSource(source string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.source != source
+	s.source = source
+	return changed
 }
 
 func (s *storeCopy) skipWait() {
--- a/node/status.go
+++ b/node/status.go
@@ -21,6 +21,18 @@
 	Leaving  bool `json:"leaving"`
 	InFlight int  `json:"inFlight"`
 	Queued   int  `json:"queued"`
+	// Store describes the copy of the users' store; nil without that store.
+	Store *StoreStatus `json:"store,omitempty"`
+}
+
+// StoreStatus describes a daemon's copy of the users' store.
+type StoreStatus struct {
+	Revision uint64 `json:"revision"`
+	// AgeMs is the time since the copy was last confirmed to be current, in
+	// milliseconds.
+	AgeMs int64 `json:"ageMs"`
+	// Source is "store", or the address of the daemon that keeps the copy current.
+	Source string `json:"source"`
 }
 
 // DocumentStatus describes one document in force.
