--- a/measure/reading.go
+++ b/measure/reading.go
@@ -47,8 +47,8 @@
 	default:
 		return Reading{}, fmt.Errorf("parse load response: unknown state %.20q: %w", string(r.State), ErrReading)
 	}
-	if r.InFlight < 0 || r.Slots < 0 {
-		return Reading{}, fmt.Errorf("parse load response: negative inFlight or slots: %w", ErrReading)
+	if min(r.InFlight, r.Slots, r.Queued, r.PacePercent) < 0 {
+		return Reading{}, fmt.Errorf("parse load response: a negative number: %w", ErrReading)
 	}
 	return r, nil
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -104,7 +104,7 @@
 }
 
 var upstreamFaults = []platformtest.WorkerFault{
-	platformtest.Slowed, platformtest.Shedding, platformtest.Losing, platformtest.Failing,
+	platformtest.Slowed, platformtest.Shedding, platformtest.Losing, platformtest.Failing, platformtest.Hanging,
 }
 
 // Plan returns the events of a run, ordered by time, as drawn from the seed.
