node: a load report no longer copies the whole list of instances

Cause: each reading of the pace that is reported to the zone copied the records of all instances to find those of the zone. Recipients are the same (TestZoneLoadRecipients).

--- a/membership/overlay.go
+++ b/membership/overlay.go
@@ -29,6 +29,8 @@
 	zoneRank     int
 	zoneLive     int
 	zoneHeaviest candidates
+	// zonePeers are the IDs of the other live and leaving instances of the zone.
+	zonePeers []string
 }
 
 // zoneID identifies an availability zone; two regions may use the same zone
@@ -110,6 +112,10 @@
 	return o.zoneHeaviest[:min(len(o.zoneHeaviest), perZone)].records(), o.zoneLive
 }
 
+// ZonePeers returns the IDs of the other live and leaving instances of this daemon's
+// availability zone, sorted. The slice is shared.
+func (v *View) ZonePeers() []string { return v.refresh().zonePeers }
+
 // maxReaders bounds the instances that Readers returns.
 const maxReaders = 4
 
@@ -158,6 +164,9 @@
 		if m == self {
 			continue
 		}
+		if m.AvailabilityZone == self.AvailabilityZone {
+			o.zonePeers = append(o.zonePeers, m.ID)
+		}
 		c := candidate{m, mix(self.hash, m.hash)}
 		switch {
 		case m.State == Leaving:
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -20,11 +20,11 @@
 // directDaemon is one node that reads the store itself, with a simulated clock.
 type directDaemon struct {
 	*node.Node
-	t   *testing.T
+	t   testing.TB
 	now time.Time
 }
 
-func newDirectDaemon(t *testing.T, assumed ...config.Action) *directDaemon {
+func newDirectDaemon(t testing.TB, assumed ...config.Action) *directDaemon {
 	t.Helper()
 	now := time.Unix(1_800_000_000, 0)
 	random := rand.New(rand.NewPCG(3, 4))
--- a/node/zone_load.go
+++ b/node/zone_load.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/balance"
-	"pomelodoor.example/pomelodoor/membership"
 )
 
 const (
@@ -60,19 +59,18 @@
 // availability zone or, in a large zone, those that recently sent requests
 // here.
 func (n *Node) loadRecipients(now time.Time) []string {
-	var zone []string
-	for _, r := range n.view.All() {
-		if r.ID != n.self() && r.AvailabilityZone == n.cfg.Self.AvailabilityZone && r.State != membership.Gone {
-			zone = append(zone, r.ID)
-		}
-	}
+	zone := n.view.ZonePeers()
 	if len(zone) <= smallZoneDaemons {
 		return zone
 	}
-	return slices.DeleteFunc(zone, func(id string) bool {
-		last, known := n.senders[id]
-		return !known || now.Sub(last) > senderTTL
-	})
+	var recent []string
+	for id, last := range n.senders {
+		if _, inZone := slices.BinarySearch(zone, id); inZone && now.Sub(last) <= senderTTL {
+			recent = append(recent, id)
+		}
+	}
+	slices.Sort(recent)
+	return recent
 }
 
 func similarPace(a, b int) bool {
