--- a/follow/doc.go
+++ b/follow/doc.go
@@ -6,6 +6,10 @@
 // skipped. When the store no longer has the history that a watch needs, the
 // whole store is listed again and the copy replaced.
 //
+// In a large availability zone most daemons do not watch the store but poll one of a few
+// that do. Every copy has an age, the time since it was last confirmed to be current,
+// which is passed on with it. A daemon whose copy grows too old reads the store itself.
+//
 // While the store does not answer, the daemon queries other daemons for their
 // copies, which are ordered by the store's revision. Daemons announce their
 // revisions to each other, so that one whose watch was lost notices it.
@@ -17,6 +21,7 @@
 //	switch action := f.Next(now); action.Kind {
 //	case follow.List: // read a page, then call f.Listed or f.Failed
 //	case follow.Watch: // wait for changes, then call f.Watched or f.Failed
+//	case follow.Poll: // ask a reader, then call f.Polled or f.PollFailed
 //	case follow.Wait: // call Next again at action.At
 //	}
 //
--- a/follow/message_test.go
+++ b/follow/message_test.go
@@ -49,3 +49,26 @@
 		})
 	}
 }
+
+func FuzzDecodeCopy(f *testing.F) {
+	f.Add([]byte(`{"revision":9,"ageMs":5,"items":[{"key":"a","value":"YQ==","revision":3}]}`))
+	f.Add([]byte(`{"revision":18446744073709551615,"ageMs":9223372036854775807,"graceMs":1,"items":[{"key":"a","revision":1,"deleted":true}]}`))
+	f.Add([]byte(`{"revision":1e30}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := follow.DecodeCopy(text)
+		if err != nil {
+			return
+		}
+		if c.Revision == 0 || c.Age < 0 || c.Grace < 0 {
+			t.Fatalf("got %+v", c)
+		}
+		copied := follow.New(follow.Config{})
+		copied.SetReaders([]string{"r-1"}, false)
+		listed(1, false, item("a", 1))(copied, at(0))
+		copied.Polled(c, "r-1", at(10))
+		copied.ApplyCopy(c, "r-1", at(10))
+		if copied.Revision() < 1 {
+			t.Fatalf("the revision went back to %d", copied.Revision())
+		}
+	})
+}
