--- a/follow/reader.go
+++ b/follow/reader.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// In a large availability zone one daemon watches the store for all, and a second one
-// takes over when that is lost. The others poll one of these readers: a poll waits at the
-// reader until its copy is newer or has been confirmed again. A copy is confirmed as of the time at which the store last
-// said what is current. Whoever relays it says how old that is, so that a daemon whose
-// readers are lost, cut off or slow notices by the age of its own copy, and reads the
-// store itself before a change could be overdue.
+// In a large availability zone one daemon watches the store for all, and others take over
+// when it is lost. The rest poll these readers: a poll waits at the reader until its copy
+// is newer or has been confirmed again. A copy is confirmed as of the time at which the
+// store last said what is current. Whoever passes it on says how old that is, so a daemon
+// whose readers are lost, cut off or slow notices by the age of its own copy, and reads
+// the store itself before a change could be overdue.
 const (
 	// DefaultApplyWithin is the default of Config.ApplyWithin.
 	DefaultApplyWithin = 3 * time.Second
