balance: choices in a zone begin at any of its upstreams, not at its first

Cause: candidates are sorted by ID, and so by zone. Ruled out: cold upstreams (up for 10 s), connections being opened, processor time.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -87,19 +87,31 @@
 	}
 }
 
-// scanSameZone compares candidates of the daemon's own availability zone, in
-// order from a random one.
+// scanSameZone compares candidates of the daemon's own availability zone, in order
+// from a random one of them. Those of a zone stand together, so beginning at a random
+// one of all candidates would mostly begin at the first of the zone.
 func (p *Picker) scanSameZone(s *selection) {
-	first, left := int(p.config.Rand()%uint64(len(s.candidates))), p.config.SameZoneChoices
+	count := 0
 	for i := range s.candidates {
-		at := (first + i) % len(s.candidates)
+		if s.candidates[i].Zone == p.config.SelfZone {
+			count++
+		}
+	}
+	if count == 0 {
+		return
+	}
+	skip, left := int(p.config.Rand()%uint64(count)), min(count, p.config.SameZoneChoices)
+	for i := 0; left > 0; i++ {
+		at := i % len(s.candidates)
 		if s.candidates[at].Zone != p.config.SelfZone {
 			continue
 		}
-		p.consider(s, at)
-		if left--; left == 0 {
-			return
+		if skip > 0 {
+			skip--
+			continue
 		}
+		p.consider(s, at)
+		left--
 	}
 }
 
