follow: changes are sent compressed, and starting daemons poll the seeds

Cause: at the start of a fleet of 295, 941 calls in 16 s, 295 of them the first lists. The entries that upstreams write in the first seconds exceeded the 16 KiB that a reader passes on, so most daemons read them from the store; and until a zone is listed, nobody knew whom to poll. Ruled out: stale reads for the first list, which cost a tenth but may be seconds old, and would have to be confirmed before they are used.

Change: the answer to a poll has its state in a header and the changes in the body, as text where they are UTF-8, encoded and compressed once for all that poll with the same revision; at most 48 KiB are sent. A daemon of an earlier build, which ignores polls, thus gives no usable answer instead of a wrong one. For 5 s after its start a daemon without readers polls the seeds. A reader that refuses is asked again after 0.25 s.

Failed try: delaying the first watch of a daemon whose upstream is not listed saved a call each, but others then knew the upstream a second earlier than its own daemon, which refused their requests.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -81,7 +81,7 @@
 			d.storeCopy.skipWait()
 			d.storeCopy.requestRead()
 		}
-		d.chooseReaders()
+		d.chooseReaders(now)
 		d.storeCopy.apply(func(f *follow.Follower) bool { return f.Expire(now) })
 		action, failing := d.storeCopy.next(now)
 		if action.Kind == follow.Wait {
--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -64,7 +65,7 @@
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, copyTimeout)
 	defer cancel()
-	c, err := d.requestCopy(ctx, address, newerThan, "")
+	c, err := d.requestCopy(ctx, address, newerThan)
 	if err != nil {
 		if !d.lending.failureLogged && d.ctx.Err() == nil {
 			d.logFor("store").Warn("Could not borrow a copy of the store from a neighbour.", "from", address, "revision", newerThan, "error", err)
@@ -112,9 +113,19 @@
 	return d.node.UpstreamListed()
 }
 
-// requestCopy requests the copy of another daemon, or with the value of a poll header
-// its changes. A copy that is not newer has no items.
-func (d *Daemon) requestCopy(ctx context.Context, address string, newerThan uint64, poll string) (follow.Copy, error) {
+// requestCopy requests the copy of another daemon. A copy that is not newer has no
+// items.
+func (d *Daemon) requestCopy(ctx context.Context, address string, newerThan uint64) (follow.Copy, error) {
+	body, _, err := d.getCopy(ctx, address, newerThan, "")
+	if err != nil {
+		return follow.Copy{}, fmt.Errorf("request a copy of the store: %w", err)
+	}
+	return follow.DecodeCopy(body)
+}
+
+// getCopy sends a request for the copy of another daemon, with the value of a poll header
+// for its changes. It returns the body of the response and the state in its header.
+func (d *Daemon) getCopy(ctx context.Context, address string, newerThan uint64, poll string) (body, state []byte, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -125,16 +136,22 @@
 		req.Header.Set(call.HeaderPoll, poll)
 	}
 	if err := d.peers.get(address).Do(ctx, req, resp); err != nil {
-		return follow.Copy{}, fmt.Errorf("request a copy of the store: %w", err)
+		return nil, nil, err
 	}
-	body, err := exchange.ReadBody(resp, maxCopyBytes)
+	read, err := exchange.ReadBody(resp, maxCopyBytes)
 	if err != nil {
-		return follow.Copy{}, fmt.Errorf("read a copy of the store: %w", err)
+		return nil, nil, err
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
-		return follow.Copy{}, fmt.Errorf("%w: status %d", follow.ErrCopy, status)
+		return nil, nil, fmt.Errorf("%w: status %d", follow.ErrCopy, status)
 	}
-	return follow.DecodeCopy(body)
+	body = slices.Clone(read)
+	if string(resp.Header.ContentEncoding()) == "gzip" {
+		if body, err = unzip(read, maxChangesBytes); err != nil {
+			return nil, nil, err
+		}
+	}
+	return body, slices.Clone(resp.Header.Peek(call.HeaderCopy)), nil
 }
 
 // serveCopy sends this daemon's copy of the store to another daemon, or status
@@ -145,19 +162,11 @@
 		ctx.Error(call.HeaderCopy+" holds no revision", fasthttp.StatusBadRequest)
 		return
 	}
-	var c follow.Copy
 	if poll := ctx.Request.Header.Peek(call.HeaderPoll); poll != nil {
-		wait, age, err := parsePoll(string(poll))
-		if err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
-		}
-		c = d.storeCopy.awaitChanges(newerThan, time.Now().Add(-age), wait, d.stopping)
-		c.Leaving = d.leaving.Load()
-		d.closeConnIfLeaving(ctx)
-	} else {
-		c = d.storeCopy.lend(newerThan)
+		d.servePoll(ctx, newerThan, string(poll))
+		return
 	}
+	c := d.storeCopy.lend(newerThan)
 	if c.Revision == 0 {
 		ctx.Error("nothing is known of the store yet", fasthttp.StatusServiceUnavailable)
 		return
--- a/daemon/polling.go
+++ b/daemon/polling.go
@@ -1,20 +1,31 @@
 package daemon
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/exchange"
 	"pomelodoor.example/pomelodoor/follow"
 )
 
 const (
-	// maxChangesBytes limits the changes sent to each daemon that polls. A reader
-	// sends them to half of its availability zone at once, through its own link.
-	maxChangesBytes = 16 << 10
+	// maxChangesBytes limits the changes that are passed on, and maxSentBytes what is
+	// sent of them to each daemon: a reader sends to half of its availability zone
+	// at once, through its own link.
+	maxChangesBytes = 1 << 20
+	maxSentBytes    = 48 << 10
+	// minZipBytes is the length from which on changes are compressed.
+	minZipBytes = 2 << 10
 	// pollMargin is the part of a poll's time that is left for its answer.
 	pollMargin = 50 * time.Millisecond
 	// maxPollWait limits how long another daemon may make a poll wait.
@@ -32,7 +43,7 @@
 	ctx, cancel := context.WithTimeout(ctx, action.Timeout)
 	defer cancel()
 	age := d.storeCopy.age(time.Now())
-	c, err := d.requestCopy(ctx, action.Reader, action.Revision, formatPoll(max(action.Timeout-pollMargin, 0), age))
+	c, err := d.requestChanges(ctx, action.Reader, action.Revision, max(action.Timeout-pollMargin, 0), age)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool {
@@ -56,6 +67,79 @@
 	return nil
 }
 
+// requestChanges polls another daemon for its changes after a revision.
+func (d *Daemon) requestChanges(ctx context.Context, reader string, after uint64, wait, age time.Duration) (follow.Copy, error) {
+	body, state, err := d.getCopy(ctx, reader, after, formatPoll(wait, age))
+	if err != nil {
+		return follow.Copy{}, fmt.Errorf("poll %s: %w", reader, err)
+	}
+	return follow.DecodeChanges(state, body)
+}
+
+// servePoll answers the poll of another daemon for the changes after a revision.
+func (d *Daemon) servePoll(ctx *fasthttp.RequestCtx, after uint64, poll string) {
+	wait, age, err := parsePoll(poll)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	c, changes := d.storeCopy.awaitChanges(after, time.Now().Add(-age), wait, d.stopping)
+	c.Leaving = d.leaving.Load()
+	state, err := follow.EncodeState(c)
+	if err != nil || c.Revision == 0 {
+		ctx.Error("nothing is known of the store yet", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.Response.Header.SetBytesV(call.HeaderCopy, state)
+	if changes.zipped {
+		ctx.Response.Header.SetContentEncoding("gzip")
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(changes.body)
+	d.closeConnIfLeaving(ctx)
+}
+
+// encodedChanges are the changes between two revisions as they are sent to all that poll.
+type encodedChanges struct {
+	after, revision uint64
+	body            []byte
+	zipped          bool
+	// tooLong is true if they are not sent, and must be read from the store.
+	tooLong bool
+}
+
+// encodeChanges encodes the changes after a revision, or none if they are too long.
+func encodeChanges(c follow.Copy, after uint64) encodedChanges {
+	e := encodedChanges{after: after, revision: c.Revision, tooLong: c.ReadStore}
+	body, err := follow.EncodeChanges(c.Items)
+	if err == nil && len(body) >= minZipBytes {
+		body, e.zipped = fasthttp.AppendGzipBytesLevel(nil, body, fasthttp.CompressBestSpeed), true
+	}
+	if err != nil || e.tooLong || len(body) > maxSentBytes {
+		body, e.zipped, e.tooLong = []byte("[]"), false, true
+	}
+	e.body = body
+	return e
+}
+
+// unzip returns a decompressed body of at most maxBytes and its overhead.
+func unzip(body []byte, maxBytes int) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("decompress changes: %w", err)
+	}
+	// Keys and revisions add to the values that maxBytes counts.
+	limit := int64(2 * maxBytes)
+	text, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("decompress changes: %w", err)
+	}
+	if int64(len(text)) > limit {
+		return nil, fmt.Errorf("decompress changes: %w", exchange.ErrTooLong)
+	}
+	return text, nil
+}
+
 // sourceStore is the source of a copy that this daemon reads itself.
 const sourceStore = "store"
 
@@ -71,8 +155,12 @@
 	}
 }
 
+// seedPhase is how long after its start a daemon without readers in its own zone polls
+// the seeds: while a whole fleet starts, the list of upstreams grows for some seconds.
+const seedPhase = 5 * time.Second
+
 // chooseReaders tells the follower which daemons read the store for this one.
-func (d *Daemon) chooseReaders() {
+func (d *Daemon) chooseReaders(now time.Time) {
 	d.mu.Lock()
 	instances, shared := d.node.StoreReaders()
 	d.mu.Unlock()
@@ -80,6 +168,9 @@
 	for _, r := range instances {
 		readers = append(readers, r.Peer)
 	}
+	if len(readers) == 0 && !shared && now.Sub(d.started) < seedPhase {
+		readers, shared = d.settings.seedReaders(d.incarnation)
+	}
 	d.storeCopy.setReaders(readers, shared)
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -60,6 +60,24 @@
 	return out
 }
 
+// seedReaders returns the peer addresses of the seeds that a starting daemon polls, in an
+// order that differs between daemons. A seed polls those listed before it, and shared is
+// true for it.
+func (s *Settings) seedReaders(incarnation uint64) (readers []string, shared bool) {
+	if i := slices.Index(s.Seeds, s.Control); i >= 0 {
+		for _, control := range s.Seeds[:i] {
+			readers = append(readers, platform.PeerAddress(control, s.Peer))
+		}
+		return readers, true
+	}
+	readers = s.seeds()
+	if len(readers) > 1 {
+		first := int(incarnation % uint64(len(readers)))
+		readers = append(readers[first:], readers[:first]...)
+	}
+	return readers, false
+}
+
 // assumedActions returns the actions of Assume. Check has validated them.
 func (s *Settings) assumedActions() []config.Action {
 	var actions []config.Action
--- a/daemon/store_copy.go
+++ b/daemon/store_copy.go
@@ -25,6 +25,8 @@
 	upstreams *upstreamFeed
 	// source is "store", or the address of the reader that keeps the copy current.
 	source string
+	// changes are those that were sent last.
+	changes encodedChanges
 	// renewed is closed, and replaced, when the store or a reader has answered or
 	// has failed to.
 	renewed chan struct{}
@@ -106,9 +108,9 @@
 }
 
 // awaitChanges waits until the copy has changed since a revision or was confirmed later
-// than a time, and returns the changes. It returns what there is when done is closed
-// or the time is up.
-func (s *storeCopy) awaitChanges(after uint64, confirmedAt time.Time, wait time.Duration, done <-chan struct{}) follow.Copy {
+// than a time, and returns the state of the copy and the changes. It returns what there
+// is when done is closed or the time is up.
+func (s *storeCopy) awaitChanges(after uint64, confirmedAt time.Time, wait time.Duration, done <-chan struct{}) (follow.Copy, encodedChanges) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waiting := true; waiting; {
@@ -128,7 +130,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.follower.Changes(after, maxChangesBytes, s.d.otherDaemons(), time.Now())
+	c := s.follower.Changes(after, maxChangesBytes, s.d.otherDaemons(), time.Now())
+	if s.changes.after != after || s.changes.revision != c.Revision || s.changes.body == nil {
+		s.changes = encodeChanges(c, after)
+	}
+	c.ReadStore = s.changes.tooLong
+	return c, s.changes
 }
 
 // setReaders sets the daemons that read the store for this one.
--- a/follow/fleet_test.go
+++ b/follow/fleet_test.go
@@ -315,7 +315,7 @@
 		if s.lie {
 			c.Age = 0
 		}
-		text, err := follow.EncodeCopy(c)
+		text, err := follow.EncodeChanges(c.Items)
 		if err != nil || m.fault == cutOff || reader.fault == cutOff || reader.fault == frozen {
 			return
 		}
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -23,10 +23,12 @@
 	readDelayPercent    = 35
 	takeOverPercent     = 58
 	maxAgePercent       = 65
-	// minSuspicion is how long a reader that did not answer, or whose copy is too
-	// old, is not polled again; it doubles with each failure in a row, up to
-	// maxSuspicion.
+	// minSuspicion is how long a reader that did not answer in time, or whose copy
+	// is too old, is not polled again, and minRefusal the same for one that failed
+	// at once, as a starting one does. Both double with each failure in a row, up
+	// to maxSuspicion.
 	minSuspicion = 2 * time.Second
+	minRefusal   = 250 * time.Millisecond
 	maxSuspicion = 30 * time.Second
 	// maxCopyAge is the age of a copy that was never confirmed.
 	maxCopyAge = 24 * time.Hour
@@ -64,13 +66,7 @@
 	if f.readRequested && !f.inFault {
 		return f.read()
 	}
-	readAt := f.confirmedAt.Add(f.cfg.percent(maxAgePercent) + f.directJitter)
-	if f.shared {
-		readAt = f.confirmedAt.Add(f.cfg.percent(takeOverPercent))
-	}
-	if f.inFault {
-		readAt = f.notBefore
-	}
+	readAt := f.readAt()
 	if !now.Before(readAt) {
 		return f.read()
 	}
@@ -91,6 +87,17 @@
 	return Action{Kind: Poll, Reader: reader, Revision: f.revision, Timeout: readAt.Sub(now)}
 }
 
+// readAt returns when a daemon that polls reads the store itself.
+func (f *Follower) readAt() time.Time {
+	switch {
+	case f.inFault:
+		return f.notBefore
+	case f.shared:
+		return f.confirmedAt.Add(f.cfg.percent(takeOverPercent))
+	}
+	return f.confirmedAt.Add(f.cfg.percent(maxAgePercent) + f.directJitter)
+}
+
 // read returns a read of the changes that waits for nothing.
 func (f *Follower) read() Action { return Action{Kind: Watch, Revision: f.revision} }
 
@@ -115,9 +122,10 @@
 	until    time.Time
 }
 
-func (f *Follower) suspectReader(reader string, now time.Time) {
+// suspectReader records a failure of a reader, which is not polled for at least a time.
+func (f *Follower) suspectReader(reader string, atLeast time.Duration, now time.Time) {
 	s := f.suspects[reader]
-	s.until = now.Add(min(minSuspicion<<min(s.failures, 8), maxSuspicion))
+	s.until = now.Add(min(atLeast<<min(s.failures, 8), maxSuspicion))
 	s.failures++
 	f.suspects[reader] = s
 }
@@ -146,7 +154,7 @@
 func (f *Follower) Polled(c Copy, from string, now time.Time) bool {
 	age := c.Age
 	if c.Leaving || age >= f.cfg.percent(maxAgePercent) {
-		f.suspectReader(from, now)
+		f.suspectReader(from, minSuspicion, now)
 	} else {
 		delete(f.suspects, from)
 	}
@@ -172,7 +180,11 @@
 
 // PollFailed records that a reader did not answer a poll.
 func (f *Follower) PollFailed(from string, now time.Time) {
-	f.suspectReader(from, now)
+	atLeast := minSuspicion
+	if now.Before(f.readAt()) {
+		atLeast = minRefusal
+	}
+	f.suspectReader(from, atLeast, now)
 	f.nextPollAt = time.Time{}
 }
 
