node: a daemon that awaits its upstream reports it as cold, not as draining

The refusal said draining, and the sender left it out for ten seconds. Ruled out: the choice of an upstream (two candidates are always compared).

Change: until the store has listed the local upstream, the reported state is cold: it gets a small share, and all of it with its next report. TestLoadBeforeUpstreamIsListed fails before.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -98,9 +98,6 @@
 			continue
 		}
 		d.logStoreState(failing, err)
-		if action.Kind == follow.List && !d.upstreamListed() {
-			d.storeCopy.delayWatch()
-		}
 		if err == nil && reread && !d.storeCall.restartPending() {
 			reread = false
 			d.update(node.StoreAnswered{})
--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -106,13 +106,6 @@
 	return d.node.PeerCount()
 }
 
-// upstreamListed reports whether the store lists the local upstream.
-func (d *Daemon) upstreamListed() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.node.UpstreamListed()
-}
-
 // requestCopy requests the copy of another daemon. A copy that is not newer has no
 // items.
 func (d *Daemon) requestCopy(ctx context.Context, address string, newerThan uint64) (follow.Copy, error) {
--- a/daemon/store_copy.go
+++ b/daemon/store_copy.go
@@ -145,13 +145,6 @@
 	s.follower.SetReaders(readers, shared)
 }
 
-// delayWatch delays the next watch as after a change.
-func (s *storeCopy) delayWatch() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.follower.DelayWatch(time.Now())
-}
-
 // requestRead makes the next action a read of the store that returns at once.
 func (s *storeCopy) requestRead() {
 	s.mu.Lock()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -253,14 +253,6 @@
 	f.historyFrom = revision
 }
 
-// DelayWatch delays the next watch as after a change. A daemon whose upstream is not
-// listed yet has nothing to serve, and more of the list to come.
-func (f *Follower) DelayWatch(now time.Time) {
-	if f.listed {
-		f.notBefore = now.Add(f.watchDelay())
-	}
-}
-
 // SkipDelay cancels the delay after a change, so that the next call is due now. The
 // backoff after a failure is not shortened.
 func (f *Follower) SkipDelay() {
--- a/node/admission.go
+++ b/node/admission.go
@@ -221,6 +221,10 @@
 		load.Pace, load.Age = pace, now.Sub(at)
 	}
 	switch {
+	case n.awaitsUpstream():
+		// Others may know of the upstream before this daemon does. They would not
+		// send anything to one that drains for some time.
+		load.State = balance.Cold
 	case l.Draining || n.leaving():
 		load.State = balance.Draining
 	case n.upstreamCold:
@@ -235,6 +239,12 @@
 // upstream is reported as down.
 const downAfterFailures = 3
 
+// awaitsUpstream reports whether the daemon has started, and the local upstream has not
+// been listed since.
+func (n *Node) awaitsUpstream() bool {
+	return n.direct() && !n.upstreamListed && !n.stopping && !n.closing
+}
+
 // leaving reports whether new work is refused, for good or until the upstream
 // returns.
 func (n *Node) leaving() bool {
--- a/node/direct.go
+++ b/node/direct.go
@@ -89,6 +89,7 @@
 	if after == before || n.closing {
 		return nil
 	}
+	n.upstreamListed = n.upstreamListed || after.state != membership.Gone
 	out := n.applyLimits(now)
 	switch {
 	case after.state == membership.Live && n.gate.Draining():
@@ -154,9 +155,6 @@
 	return append(out, n.applyLimits(now)...)
 }
 
-// UpstreamListed reports whether the store lists the local upstream.
-func (n *Node) UpstreamListed() bool { return n.view.Self().State != membership.Gone }
-
 // PeerCount returns the number of other known daemons.
 func (n *Node) PeerCount() int { return n.view.PeerCount() }
 
--- a/node/node.go
+++ b/node/node.go
@@ -130,6 +130,8 @@
 	gateAfterPending bool
 
 	upstreamCold bool
+	// upstreamListed is set once the store has listed the local upstream.
+	upstreamListed bool
 	// servingSince is when the upstream began to report that it is serving.
 	servingSince time.Time
 	// stopping is set by Shutdown; closing is set once no new work is accepted.
