--- a/follow/simulation_test.go
+++ b/follow/simulation_test.go
@@ -177,9 +177,13 @@
 
 func (s *simFleet) storeDown() bool { return s.now.Before(s.storeDownUntil) }
 
-// disturb begins a fault of a member.
+// disturb begins a fault of a member, unless one is in progress that lasts longer.
 func (m *simMember) disturb(fault simFault, d time.Duration) {
-	m.fault, m.until = fault, m.fleet.now.Add(d)
+	until := m.fleet.now.Add(d)
+	if m.fault != "" && until.Before(m.until) {
+		return
+	}
+	m.fault, m.until = fault, until
 	m.fleet.after(d, func() {
 		if !m.fleet.now.Before(m.until) {
 			m.fault, m.disturbedAt = "", m.fleet.now
