follow: the changes for a poll no longer say whether the copy is certain

That was worked out for each poll, with the daemon's lock taken for the number of others, and never sent: the state of a poll's answer has no such field. Behaviour is unchanged.

--- a/daemon/store_copy.go
+++ b/daemon/store_copy.go
@@ -130,7 +130,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.follower.Changes(after, maxChangesBytes, s.d.otherDaemons(), time.Now())
+	c := s.follower.Changes(after, maxChangesBytes, time.Now())
 	if s.changes.after != after || s.changes.revision != c.Revision || s.changes.body == nil {
 		s.changes = encodeChanges(c, after)
 	}
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -196,8 +196,8 @@
 
 // Changes returns the changes after a revision, for a poll. If they are not known or
 // exceed maxBytes, the copy tells the other daemon to read the store.
-func (f *Follower) Changes(after uint64, maxBytes int, others int, now time.Time) Copy {
-	c := Copy{Revision: f.revision, Age: f.Age(now), Certain: f.Certain(others), Grace: max(f.graceUntil.Sub(now), 0)}
+func (f *Follower) Changes(after uint64, maxBytes int, now time.Time) Copy {
+	c := Copy{Revision: f.revision, Age: f.Age(now), Grace: max(f.graceUntil.Sub(now), 0)}
 	if f.revision <= after {
 		return c
 	}
--- a/follow/simulation_test.go
+++ b/follow/simulation_test.go
@@ -311,7 +311,7 @@
 		}
 	})
 	w.answer = func() {
-		c := reader.f.Changes(w.revision, 16<<10, len(s.members)-1, s.now)
+		c := reader.f.Changes(w.revision, 16<<10, s.now)
 		if s.lie {
 			c.Age = 0
 		}
