--- /dev/null
+++ b/review/standins/second_caller.go
@@ -0,0 +1,24 @@
+package main
+
+import "time"
+
+const forgedFor = 10 * time.Second
+
+func init() { cases["second-caller"] = caseRun{"UNASKED", secondCaller} }
+
+// secondCaller: some clients send X-Caller-Service themselves, in two header lines.
+func secondCaller(f *fleet, trouble bool) error {
+	stop := make(chan struct{})
+	clients := f.clients()
+	for _, c := range clients {
+		c.header = "X-Caller-Service: photos\r\n"
+		if trouble {
+			c.header += "X-Caller-Service: bookings\r\n"
+		}
+	}
+	wg := f.offer(clients, 1, stop)
+	time.Sleep(forgedFor)
+	close(stop)
+	wg.Wait()
+	return nil
+}
