--- a/call/outcome.go
+++ b/call/outcome.go
@@ -33,6 +33,7 @@
 	Overloaded       Reason = "overloaded"
 	Quarantined      Reason = "quarantined"
 	Replayed         Reason = "replayed"
+	RouteClosed      Reason = "routeClosed"
 	ShortBody        Reason = "shortBody"
 	Slow             Reason = "slow"
 	Stale            Reason = "stale"
--- a/config/document.go
+++ b/config/document.go
@@ -59,7 +59,8 @@
 // Kind returns the type of the document.
 func (d Document) Kind() Kind { return d.kind }
 
-// Revision returns the revision number set by the operator, at least 1.
+// Revision returns the revision number set by the operator, at least 1, or at least 0 for
+// routes.
 func (d Document) Revision() uint64 { return d.revision }
 
 // Digest returns the xxHash64 of the canonical form as 16 hex digits. Documents
@@ -139,10 +140,19 @@
 	if _, ok := o.field("revision"); !ok {
 		r.fault(root.line, "revision", "is missing")
 	}
-	d.revision = o.integer("revision", 1, maxRevision, 0)
+	d.revision = o.integer("revision", minRevision(d.kind), maxRevision, 0)
 	return d
 }
 
+// minRevision returns the lowest revision. That of a routes document may be the version
+// of another platform's configuration, which may begin at 0.
+func minRevision(kind Kind) uint64 {
+	if kind == KindRoutes {
+		return 0
+	}
+	return 1
+}
+
 func checkKind(text string) string {
 	switch Kind(text) {
 	case KindService, KindSwitches, KindRoutes:
--- a/config/routes.go
+++ b/config/routes.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -10,19 +11,23 @@
 const KeyRoutes = "routes"
 
 // MaxRoutesBytes is the size limit of the routes document. It is larger than
-// MaxDocumentBytes because the document holds the routes of all services.
-const MaxRoutesBytes = 1 << 20
+// MaxDocumentBytes because the document holds the routes of all services, and larger
+// than the values of the platforms from which it is generated.
+const MaxRoutesBytes = 16 << 20
 
-// Bounds of a routes document.
+// Bounds of the numbers in a routes document. Its lists and names are limited only by
+// its size.
 const (
-	maxRoutes         = 20_000
-	maxRouteParts     = 64
-	maxRouteRank      = 1000
-	maxAttempts       = 16
-	maxWeight         = 1_000_000
-	maxRouteTextBytes = 1024
-	maxServices       = 10_000
-	defaultAttempts   = 3
+	MaxRouteRank     = math.MaxInt32
+	MaxRouteAttempts = 1000
+	MaxRouteWeight   = 1_000_000
+	// MaxRouteTimeout limits the timeout and the target latency.
+	MaxRouteTimeout = maxTimeoutMs * time.Millisecond
+	MaxConnections  = maxConnections
+	MaxBodyBytes    = maxBodyBytes
+
+	defaultAttempts = 3
+	unlimited       = math.MaxInt
 )
 
 // Route maps the requests for a host and path prefix to one service, or to
@@ -36,6 +41,7 @@
 	timeout          time.Duration
 	targetLatency    time.Duration
 	attempts         int
+	closed           bool
 	weightedServices []WeightedService
 }
 
@@ -70,8 +76,11 @@
 // MaxAttempts returns the maximum number of upstreams that one request is sent to.
 func (r *Route) MaxAttempts() int { return r.attempts }
 
-// WeightedServices returns the services of the route, at least one. The caller must not
-// modify the slice.
+// Closed reports whether every request of the route is refused.
+func (r *Route) Closed() bool { return r.closed }
+
+// WeightedServices returns the services of the route, at least one unless the route is
+// closed. The caller must not modify the slice.
 func (r *Route) WeightedServices() []WeightedService { return r.weightedServices }
 
 // UpstreamSettings holds the settings in a routes document for the upstreams of one
@@ -123,7 +132,7 @@
 		upstreamSettings: r.upstreamSettings(o),
 		maxBody:          int64(o.integer("maxBodyBytes", 0, maxBodyBytes, defaultMaxBodyBytes)),
 	}
-	items, _ := o.list("routes", maxRoutes)
+	items, _ := o.list("routes", unlimited)
 	for i, item := range items {
 		route := r.route(item, joinIndex("routes", i), parsed.upstreamSettings)
 		parsed.byHost[route.host] = append(parsed.byHost[route.host], route)
@@ -136,10 +145,10 @@
 
 func (r *reader) upstreamSettings(root object) map[string]UpstreamSettings {
 	settings := map[string]UpstreamSettings{}
-	items, _ := root.list("services", maxServices)
+	items, _ := root.list("services", unlimited)
 	for i, item := range items {
 		o := r.object(item, joinIndex("services", i), "service", "connections", "probePath")
-		name := o.text("service", checkService)
+		name := o.text("service", checkRouteService)
 		if _, duplicate := settings[name]; duplicate {
 			r.fault(item.line, o.fieldPath("service"), "%q is listed twice", truncate(name))
 		}
@@ -152,26 +161,27 @@
 }
 
 func (r *reader) route(item *node, path string, settings map[string]UpstreamSettings) *Route {
-	o := r.object(item, path, "name", "host", "prefix", "idempotent", "rank", "timeoutMs", "targetMs", "attempts", "parts")
+	o := r.object(item, path, "name", "host", "prefix", "idempotent", "rank", "timeoutMs", "targetMs", "attempts", "closed", "parts")
 	route := &Route{
 		name:          o.text("name", checkRouteName),
 		host:          o.text("host", checkHost),
 		prefix:        o.text("prefix", checkPrefix),
 		idempotent:    o.boolean("idempotent"),
-		rank:          int(o.integer("rank", 0, maxRouteRank, 0)),
+		rank:          int(o.integer("rank", 0, MaxRouteRank, 0)),
 		timeout:       time.Duration(o.integer("timeoutMs", 1, maxTimeoutMs, defaultTimeoutMs)) * time.Millisecond,
 		targetLatency: time.Duration(o.integer("targetMs", 1, maxTimeoutMs, defaultTimeoutMs)) * time.Millisecond,
-		attempts:      int(o.integer("attempts", 1, maxAttempts, defaultAttempts)),
+		attempts:      int(o.integer("attempts", 1, MaxRouteAttempts, defaultAttempts)),
+		closed:        o.boolean("closed"),
 	}
-	parts, _ := o.list("parts", maxRouteParts)
+	parts, _ := o.list("parts", unlimited)
 	for i, part := range parts {
 		p := r.object(part, joinIndex(o.fieldPath("parts"), i), "service", "weight")
 		route.weightedServices = append(route.weightedServices, WeightedService{
-			service: p.text("service", checkService),
-			weight:  int(p.integer("weight", 1, maxWeight, 1)),
+			service: p.text("service", checkRouteService),
+			weight:  int(p.integer("weight", 1, MaxRouteWeight, 1)),
 		})
 	}
-	if len(route.weightedServices) == 0 {
+	if len(route.weightedServices) == 0 && !route.closed {
 		r.fault(item.line, o.fieldPath("parts"), "names no service")
 	}
 	for _, part := range route.weightedServices {
@@ -193,21 +203,30 @@
 }
 
 func checkRouteName(text string) string {
-	if text == "" || len(text) > maxRouteTextBytes {
+	if text == "" {
 		return "is not a valid route name"
 	}
 	return ""
 }
 
+// checkRouteService accepts every name. A service of a route need not be a host name,
+// as no Host header names it.
+func checkRouteService(text string) string {
+	if text == "" {
+		return "is not a valid service name"
+	}
+	return ""
+}
+
 func checkHost(text string) string {
-	if text == "" || len(text) > maxRouteTextBytes || text != strings.ToLower(text) {
+	if text == "" || text != strings.ToLower(text) {
 		return "is not a host name in lower case"
 	}
 	return ""
 }
 
 func checkPath(text string) string {
-	if !strings.HasPrefix(text, "/") || len(text) > maxRouteTextBytes {
+	if !strings.HasPrefix(text, "/") {
 		return "is not a valid path"
 	}
 	return ""
--- a/config/set.go
+++ b/config/set.go
@@ -46,7 +46,7 @@
 // conflict reports whether the two have the same revision but different content,
 // which happens when operators write concurrently.
 func (s *Set) Apply(d Document) (changed, conflict bool) {
-	if d.revision == 0 {
+	if d.key == "" {
 		return false, false
 	}
 	old, ok := s.documents[d.key]
@@ -178,7 +178,7 @@
 // is a sum because that is independent of order and a term can be subtracted
 // again.
 func (d Document) summaryTerm() uint64 {
-	if d.revision == 0 {
+	if d.key == "" {
 		return 0
 	}
 	b := make([]byte, 0, 128)
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -259,6 +259,7 @@
 	call.NoUpstream:       "no upstream may serve this caller now",
 	call.Overloaded:       "the upstreams are full",
 	call.Quarantined:      "requests like this one have crashed upstreams",
+	call.RouteClosed:      "the route of this request is closed",
 	call.ShortBody:        "the request body was cut short",
 	call.Slow:             "the upstream is slow at this moment",
 	call.Stale:            "the daemon has old knowledge",
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -7,7 +7,9 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
+	"unicode"
 
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/node"
@@ -90,6 +92,8 @@
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,62})$`)
 
 const (
+	// maxNameBytes limits the names that the users' platform chooses.
+	maxNameBytes      = 256
 	maxSettingSeconds = 3600
 	maxFleetSize      = 100_000
 )
@@ -105,8 +109,8 @@
 		"availability-zone": s.AvailabilityZone, "region": s.Region,
 	}
 	for _, flag := range []string{"instance", "service", "availability-zone", "region"} {
-		if !namePattern.MatchString(names[flag]) {
-			invalid(flag, fmt.Sprintf("%q is not a name of lower-case letters, digits, dots, dashes and underscores", names[flag]))
+		if problem := s.checkName(names[flag]); problem != "" {
+			invalid(flag, fmt.Sprintf("%q %s", names[flag], problem))
 		}
 	}
 	s.checkAddresses(invalid)
@@ -130,6 +134,21 @@
 	return errors.Join(errs...)
 }
 
+// checkName returns what is wrong with a name, or "". The users' platform chooses names
+// by rules of its own.
+func (s *Settings) checkName(name string) string {
+	if s.direct() {
+		if name == "" || len(name) > maxNameBytes || strings.ContainsFunc(name, unicode.IsControl) {
+			return fmt.Sprintf("is empty, longer than %d bytes or has control characters", maxNameBytes)
+		}
+		return ""
+	}
+	if !namePattern.MatchString(name) {
+		return "is not a name of lower-case letters, digits, dots, dashes and underscores"
+	}
+	return ""
+}
+
 func (s *Settings) checkAddresses(invalid func(flag, text string)) {
 	flagByAddress := map[string]string{}
 	for _, a := range []struct{ flag, address string }{
--- a/node/route.go
+++ b/node/route.go
@@ -31,6 +31,9 @@
 	if !ok {
 		return call.UnknownService, false
 	}
+	if route.Closed() {
+		return call.RouteClosed, false
+	}
 	c.route = route
 	c.request.Service = n.nextService(route)
 	c.request.Repeat = call.Unsafe
