--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -173,7 +173,7 @@
 	c.byNumber[f.Number] = out
 	c.mu.Unlock()
 	req := fasthttp.AcquireRequest()
-	ingress.CopyHeaders(&c.ctx.Request.Header, req)
+	ingress.CopyHeaders(&c.ctx.Request.Header, req, c.d.dialect)
 	c.body.SetOn(req)
 	if f.To.ID != c.d.self.ID {
 		c.body.ExpectContinue(req)
@@ -215,7 +215,7 @@
 	c.attempts.Wait()
 	c.discardExcept(number)
 	a := chosen.answer
-	ingress.RelayResponse(c.ctx, a.response, func() {
+	ingress.RelayResponse(c.ctx, a.response, c.d.dialect, func() {
 		a.finish()
 		chosen.cancel()
 		stopWatch()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -47,7 +47,7 @@
 	}
 	senderCtx, stopWatch := d.watch.Context(ctx.Conn(), f.Request.Deadline)
 	req := fasthttp.AcquireRequest()
-	ingress.CopyHeaders(&ctx.Request.Header, req)
+	ingress.CopyHeaders(&ctx.Request.Header, req, d.dialect)
 	body.SetOn(req)
 	var a *answer
 	if r := d.reserved.claim(f.Request.ID); r != nil {
@@ -60,7 +60,7 @@
 		stopWatch()
 		ingress.Refuse(ctx, a.result.Outcome, a.result.Reason, describeReason(a.result.Reason))
 	} else {
-		ingress.RelayResponse(ctx, a.response, func() {
+		ingress.RelayResponse(ctx, a.response, d.dialect, func() {
 			a.finish()
 			stopWatch()
 		})
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -50,7 +50,7 @@
 	if length > MaxBufferedBytes {
 		return &Body{stream: stream, length: length}, nil
 	}
-	buffered, err := io.ReadAll(io.LimitReader(stream, MaxBufferedBytes+1))
+	buffered, err := readWithoutTrailers(&ctx.Request.Header, io.LimitReader(stream, MaxBufferedBytes+1))
 	if err != nil || (length >= 0 && len(buffered) < length) {
 		return nil, fmt.Errorf("%w: %d bytes came", ErrShortBody, len(buffered))
 	}
@@ -61,6 +61,19 @@
 	return &Body{stream: limited, length: -1}, nil
 }
 
+// readWithoutTrailers reads a body and discards the trailer fields after it, which
+// fasthttp adds to the headers of the request. They could pass for headers
+// (RFC 9110, section 6.5.1).
+func readWithoutTrailers(h *fasthttp.RequestHeader, body io.Reader) ([]byte, error) {
+	if h.ContentLength() >= 0 {
+		return io.ReadAll(body)
+	}
+	var head fasthttp.RequestHeader
+	h.CopyTo(&head)
+	defer head.CopyTo(h)
+	return io.ReadAll(body)
+}
+
 // Replayable reports whether the body can be sent again.
 func (b *Body) Replayable() bool { return b.stream == nil }
 
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -18,6 +18,11 @@
 	// then derived, for example from where the request began, and may differ when
 	// the same request is sent again.
 	Anonymous bool
+	// Keys is true if callers may send idempotency keys and request them. Otherwise the
+	// header of the key is like any other.
+	Keys bool
+	// EndToEnd lists headers that are forwarded even if a Connection header names them.
+	EndToEnd []string
 	// Token returns the caller's ID for the request, or "" if there is none.
 	Token func(h *fasthttp.RequestHeader) string
 	// ParseRequest fills in the request from a caller's headers: the token, the
@@ -51,6 +56,7 @@
 // NativeDialect returns pomelodoor's native dialect.
 func NativeDialect() Dialect {
 	return Dialect{
+		Keys:                 true,
 		Token:                func(*fasthttp.RequestHeader) string { return "" },
 		ParseRequest:         parseNative,
 		WriteUpstreamHeaders: WriteCallHeaders,
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -33,7 +33,9 @@
 // ParseForwarded reads a request that another daemon has forwarded. dialect is that of
 // the caller, whose own headers are forwarded with the request.
 func ParseForwarded(ctx *fasthttp.RequestCtx, dialect Dialect, now time.Time) (Forwarded, error) {
-	r, err := ParseCaller(ctx, NativeDialect(), now)
+	native := NativeDialect()
+	native.Keys = dialect.Keys
+	r, err := ParseCaller(ctx, native, now)
 	if err != nil {
 		return Forwarded{}, err
 	}
@@ -121,8 +123,7 @@
 	w.flag(fieldWaitWhenSlow, r.WaitWhenSlow)
 	w.flag(fieldKeyGranted, r.KeyGranted)
 	w.number(fieldRevision, f.Revision)
-	h.SetBytesV(call.HeaderForward, w.query)
-	h.Set(call.HeaderCall, r.ID)
+	ReplaceHeader(h, call.HeaderForward, string(w.query))
 	WriteCallHeaders(h, r, now)
 	if r.Attempt == 0 {
 		h.Del(call.HeaderAttempt)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -40,16 +40,16 @@
 // need configuration or the body.
 func ParseCaller(ctx *fasthttp.RequestCtx, dialect Dialect, now time.Time) (call.Request, error) {
 	h := &ctx.Request.Header
-	r := call.Request{
-		Service: serviceName(string(h.Host())),
-		Method:  string(h.Method()),
-		Key:     strings.Trim(string(h.Peek(call.HeaderKey)), `"`),
-	}
+	r := call.Request{Service: serviceName(string(h.Host())), Method: string(h.Method())}
 	r.Host, r.Path = r.Service, rawPath(h.RequestURI())
 	if err := dialect.ParseRequest(h, &r, now); err != nil {
 		return r, err
 	}
-	r.KeyRequest = r.Method == fasthttp.MethodPost && r.Path == call.KeyPath
+	if dialect.Keys {
+		if err := parseKey(h, &r); err != nil {
+			return r, err
+		}
+	}
 	if r.Service == "" {
 		return r, fmt.Errorf("%w: no service in the Host header", ErrRequest)
 	}
@@ -58,12 +58,19 @@
 			return r, fmt.Errorf("%w: a name is longer than %d bytes", ErrRequest, maxNameBytes)
 		}
 	}
-	if len(h.PeekAll("Host")) > 1 || len(h.PeekAll(call.HeaderKey)) > 1 {
-		return r, fmt.Errorf("%w: a header that must be single is repeated", ErrRequest)
-	}
 	return r, nil
 }
 
+// parseKey reads the idempotency key of a request, or recognizes a request for a key.
+func parseKey(h *fasthttp.RequestHeader, r *call.Request) error {
+	if len(h.PeekAll(call.HeaderKey)) > 1 {
+		return fmt.Errorf("%w: a header that must be single is repeated", ErrRequest)
+	}
+	r.Key = strings.Trim(string(h.Peek(call.HeaderKey)), `"`)
+	r.KeyRequest = r.Method == fasthttp.MethodPost && r.Path == call.KeyPath
+	return nil
+}
+
 // rawPath returns the undecoded path of a request target.
 func rawPath(target []byte) string {
 	path, _, _ := strings.Cut(string(target), "?")
@@ -76,18 +83,26 @@
 // WriteCallHeaders sets the headers of a call that an upstream may pass on with calls of
 // its own, such as the attempt and the time left until the deadline.
 func WriteCallHeaders(h *fasthttp.RequestHeader, r call.Request, now time.Time) {
-	h.Set(call.HeaderCall, r.ID)
-	h.Set(call.HeaderCaller, r.Caller)
-	h.Set(call.HeaderAttempt, strconv.Itoa(r.Attempt))
-	h.Set(call.HeaderDeadline, FormatMilliseconds(r.Deadline.Sub(now)))
+	ReplaceHeader(h, call.HeaderCall, r.ID)
+	ReplaceHeader(h, call.HeaderCaller, r.Caller)
+	ReplaceHeader(h, call.HeaderAttempt, strconv.Itoa(r.Attempt))
+	ReplaceHeader(h, call.HeaderDeadline, FormatMilliseconds(r.Deadline.Sub(now)))
+}
+
+// ReplaceHeader sets a header to one value, whatever number of lines it has. The method
+// Set of fasthttp replaces only the first line.
+func ReplaceHeader(h *fasthttp.RequestHeader, name, value string) {
+	h.Del(name)
+	h.Set(name, value)
 }
 
 // CopyHeaders copies the headers of a received request to an outgoing one, without the
 // hop-by-hop headers and those reserved for daemons.
-func CopyHeaders(from *fasthttp.RequestHeader, to *fasthttp.Request) {
+func CopyHeaders(from *fasthttp.RequestHeader, to *fasthttp.Request, dialect Dialect) {
 	from.CopyTo(&to.Header)
 	to.UseHostHeader = true
-	deleteHopByHopHeaders(to.Header.Del)
+	to.Header.SetNoDefaultContentType(true)
+	deleteHopByHopHeaders(&to.Header, dialect.EndToEnd)
 	to.Header.Del("Expect")
 	for _, name := range daemonHeaders {
 		to.Header.Del(name)
@@ -96,6 +111,7 @@
 
 var daemonHeaders = []string{
 	call.HeaderForward, call.HeaderAnswer, call.HeaderCall, call.HeaderOutcome, call.HeaderReason,
+	call.HeaderCopy, call.HeaderPoll,
 }
 
 // serviceName returns the service named by a Host header.
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
@@ -29,10 +31,10 @@
 // unchanged but for the hop-by-hop headers and those reserved for daemons. The body
 // may still be a stream; if it ends early, the caller's connection is closed. done is
 // called once the body has been relayed or dropped.
-func RelayResponse(ctx *fasthttp.RequestCtx, from *fasthttp.Response, done func()) {
+func RelayResponse(ctx *fasthttp.RequestCtx, from *fasthttp.Response, dialect Dialect, done func()) {
 	length := from.Header.ContentLength()
 	from.Header.CopyTo(&ctx.Response.Header)
-	deleteHopByHopHeaders(ctx.Response.Header.Del)
+	deleteHopByHopHeaders(&ctx.Response.Header, dialect.EndToEnd)
 	for _, name := range daemonHeaders {
 		ctx.Response.Header.Del(name)
 	}
@@ -78,16 +80,40 @@
 	return err
 }
 
+// header is the header of a request or a response.
+type header interface {
+	Del(name string)
+	PeekAll(name string) [][]byte
+}
+
 // deleteHopByHopHeaders deletes the headers that apply to one connection only
-// (RFC 9110, section 7.6.1).
-func deleteHopByHopHeaders(del func(string)) {
+// (RFC 9110, section 7.6.1): those of HTTP itself, and those that the Connection header
+// names, unless they are in endToEnd.
+func deleteHopByHopHeaders(h header, endToEnd []string) {
+	for _, line := range h.PeekAll("Connection") {
+		for name := range strings.SplitSeq(string(line), ",") {
+			name = strings.TrimSpace(name)
+			if !containsFold(endToEnd, name) && !containsFold(messageHeaders, name) {
+				h.Del(name)
+			}
+		}
+	}
 	for _, name := range hopByHopHeaders {
-		del(name)
+		h.Del(name)
 	}
 }
 
+func containsFold(names []string, name string) bool {
+	return slices.ContainsFunc(names, func(n string) bool { return strings.EqualFold(n, name) })
+}
+
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Content-Length",
 }
+
+// messageHeaders describe the message or its body, and never a connection.
+var messageHeaders = []string{
+	"Host", "Content-Type", "Content-Encoding", "Content-Range", "Date",
+}
