--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -150,7 +150,10 @@
 			ProbesPerSecond: settings.bounds.ProbesPerSecond,
 		}),
 		calls: newMailboxes(), runs: newMailboxes(), reserved: newReservations(), watch: ingress.NewDisconnectWatcher(),
-		upstream:  exchange.New(exchange.Config{Address: settings.Upstream, MaxConns: defaultUpstreamConns, MatchesRequest: dialect.MatchesRequest}),
+		upstream: exchange.New(exchange.Config{
+			Address: settings.Upstream, MaxConns: defaultUpstreamConns,
+			MatchesRequest: dialect.MatchesRequest, Attributable: dialect.Attributable,
+		}),
 		peers:     newPools(overrides.Dial),
 		registry:  registry.New(registry.Config{Addresses: settings.Platform}),
 		dialect:   dialect,
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -222,6 +222,7 @@
 // receiveBody reads the body after the response head.
 func (p *Pool) receiveBody(c *conn, req *fasthttp.Request, resp *fasthttp.Response, stop func() bool, reuse bool) error {
 	reuse = reuse && !resp.ConnectionClose() && !req.ConnectionClose()
+	reuse = reuse && (p.cfg.Attributable == nil || p.cfg.Attributable(resp))
 	c.keepAliveTimeout = parseKeepAlive(&resp.Header)
 	if hasNoBody(req, resp) {
 		resp.SkipBody = true
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -34,6 +34,10 @@
 	// every response. One that does not belong is discarded: a server that answered
 	// an earlier request late, or twice, sends it before the right one.
 	MatchesRequest func(req *fasthttp.Request, resp *fasthttp.Response) bool
+	// Attributable reports whether a copy of the response that arrives later cannot be
+	// taken for the response to another request; nil accepts every response. After a
+	// response that is not attributable the connection is closed.
+	Attributable func(resp *fasthttp.Response) bool
 	// Now returns the time for idle timeouts; time.Now when nil.
 	Now func() time.Time
 }
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -33,6 +33,9 @@
 	// MatchesRequest reports whether a response of the upstream belongs to the
 	// request; nil if responses do not identify their request.
 	MatchesRequest func(req *fasthttp.Request, resp *fasthttp.Response) bool
+	// Attributable reports whether a copy of the response cannot be taken for the
+	// response to another request; nil if none can.
+	Attributable func(resp *fasthttp.Response) bool
 	// ParseResponse reads the headers of an upstream's response.
 	ParseResponse func(resp *fasthttp.Response) UpstreamReport
 	// SetRetryAfter adds to a refusal when the caller may retry; nil adds nothing.
