daemon: a stop answers every request it has taken

Callers saw (by the users' report of a similar system; shown here by a test): a request that comes late in a planned stop is taken and forwarded, and cut at its end without an answer.

Cause: callers are served until the ports close, 1.5 s before the end of the stop, whatever the deadline of a request; what still ran at the end went with the process.

Ruled out: idle connections at the close (their requests are not read).

Change: in the second half of a stop a request whose deadline is later than the stop's end is refused with leaving, 503 and Retry-After, at the caller's daemon and at the upstream's. What still runs 250 ms before the end is answered 502, unknown.

No change where deadlines are up to 1.5 s.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -131,8 +131,12 @@
 				c.attempts.Wait()
 				c.discardExcept(0)
 				stopWatch()
-				ingress.Refuse(c.ctx, call.Unknown, call.Cancelled, "the caller has gone")
-				return call.Unknown, call.Cancelled
+				reason := call.Cancelled
+				if c.d.watch.Stopped() {
+					reason = call.Leaving
+				}
+				ingress.Refuse(c.ctx, call.Unknown, reason, describeReason(reason))
+				return call.Unknown, reason
 			}
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -204,14 +204,20 @@
 // local upstream, closes the ports and waits for the requests in progress. Callers
 // are served until the ports close, so that those that have not learned of the
 // shutdown yet are not cut off. If requests keep arriving, the ports close early
-// enough for the running ones to finish.
+// enough for the running ones to finish. A request whose deadline is later than the end
+// of the stop is refused in its second half, and those still running at the end are
+// answered as unknown.
 func (d *Daemon) Shutdown() error {
 	d.logFor("daemon").Info("The daemon is shutting down.")
 	if !d.leaving.Swap(true) {
 		close(d.stopping)
 	}
-	d.update(node.Shutdown{})
 	begun := time.Now()
+	stopBy := begun.Add(d.settings.maxStop())
+	answerBy := stopBy.Add(-answerReserve)
+	d.update(node.Shutdown{AnswerBy: answerBy})
+	lastAnswers := time.AfterFunc(time.Until(answerBy), d.watch.CancelAll)
+	defer lastAnswers.Stop()
 	for elapsed := time.Duration(0); elapsed < d.settings.portsCloseBy(); elapsed = time.Since(begun) {
 		if elapsed >= d.settings.drainTime() {
 			d.update(node.Closing{})
@@ -222,7 +228,7 @@
 		time.Sleep(idlePollInterval)
 	}
 	d.update(node.Closing{})
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.settings.maxStop()))
+	ctx, cancel := context.WithDeadline(context.Background(), stopBy)
 	defer cancel()
 	d.sendFinalMessages()
 	err := d.callers.Shutdown(ctx)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -261,6 +261,10 @@
 // closed: about as long as callers wait.
 const finishReserve = 1500 * time.Millisecond
 
+// answerReserve is the time before the end of a stop at which the requests that are still
+// running are answered.
+const answerReserve = 250 * time.Millisecond
+
 // portsCloseBy returns the latest time after the start of a shutdown at which the
 // ports close.
 func (s *Settings) portsCloseBy() time.Duration {
--- a/ingress/disconnect.go
+++ b/ingress/disconnect.go
@@ -16,6 +16,8 @@
 type DisconnectWatcher struct {
 	mu      sync.Mutex
 	waiting map[net.Conn]context.CancelFunc
+	// cancelled is set by CancelAll.
+	cancelled bool
 	// wake signals that there are connections to check again.
 	wake chan struct{}
 	stop chan struct{}
@@ -39,6 +41,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	w.mu.Lock()
 	w.waiting[c] = cancel
+	if w.cancelled {
+		cancel()
+	}
 	w.mu.Unlock()
 	select {
 	case w.wake <- struct{}{}:
@@ -52,6 +57,23 @@
 	}
 }
 
+// CancelAll cancels all requests, present and future.
+func (w *DisconnectWatcher) CancelAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancelled = true
+	for _, cancel := range w.waiting {
+		cancel()
+	}
+}
+
+// Stopped reports whether CancelAll has been called.
+func (w *DisconnectWatcher) Stopped() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cancelled
+}
+
 // Close stops the watcher.
 func (w *DisconnectWatcher) Close() {
 	w.once.Do(func() { close(w.stop) })
--- a/node/admission.go
+++ b/node/admission.go
@@ -112,7 +112,7 @@
 		return call.WrongIncarnation, false
 	case n.view.Superseded(), n.view.Stale(now):
 		return call.Stale, false
-	case n.leaving():
+	case n.leaving(), n.outlastsStop(m.Request, now):
 		return call.Leaving, false
 	case !m.Request.Deadline.After(now):
 		return call.DeadlineExceeded, false
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -70,6 +70,9 @@
 		c.request.Priority = service.Priority(m.Request.Caller)
 	}
 	c.limitDeadline(now.Add(service.Limits().Timeout()))
+	if n.outlastsStop(c.request, now) {
+		return []Command{n.refusal(c, notRunOutcome(c.request), call.Leaving)}
+	}
 	n.calls[c.request.ID] = c
 	n.policy(service, now).CountFirst(c.priorAttempts)
 	target, reason, ok := n.choose(c, now)
--- a/node/message.go
+++ b/node/message.go
@@ -169,8 +169,9 @@
 // Tick reports that time has passed. It must be sent several times a second.
 type Tick struct{}
 
-// Shutdown asks the daemon to stop once its work is done.
-type Shutdown struct{}
+// Shutdown asks the daemon to stop once its work is done, and at AnswerBy at the latest;
+// zero is no limit.
+type Shutdown struct{ AnswerBy time.Time }
 
 // Closing reports that this daemon is about to close its ports.
 type Closing struct{}
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 
 	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/measure"
 	"pomelodoor.example/pomelodoor/membership"
@@ -137,6 +138,10 @@
 	// stopping is set by Shutdown; closing is set once no new work is accepted.
 	stopping bool
 	closing  bool
+	// answerBy is when the stop ends the last requests, and screenFrom when requests that
+	// may outlast it begin to be refused; zero if there is no limit.
+	answerBy   time.Time
+	screenFrom time.Time
 }
 
 // New returns the node of a daemon that has just started and knows only itself.
@@ -222,7 +227,7 @@
 	case Tick:
 		return n.tick(now)
 	case Shutdown:
-		return n.shutdown(now)
+		return n.shutdown(m, now)
 	case Closing:
 		return n.stopAccepting(now)
 	}
@@ -297,17 +302,28 @@
 // completed and callers are still served. A direct daemon has no means to
 // inform the others, so it keeps accepting work until Closing: its upstream
 // stays up, and refusing work now would only reduce capacity.
-func (n *Node) shutdown(now time.Time) []Command {
+func (n *Node) shutdown(m Shutdown, now time.Time) []Command {
 	if n.stopping {
 		return nil
 	}
 	n.stopping = true
+	if !m.AnswerBy.IsZero() {
+		n.answerBy = m.AnswerBy
+		n.screenFrom = now.Add(m.AnswerBy.Sub(now) / 2)
+	}
 	if n.direct() {
 		return nil
 	}
 	return n.stopAccepting(now)
 }
 
+// outlastsStop reports whether a request is refused because the stop of the daemon may
+// end before its answer. In the first half of the stop requests are taken all the same,
+// as most end long before their deadline.
+func (n *Node) outlastsStop(r call.Request, now time.Time) bool {
+	return n.stopping && !n.answerBy.IsZero() && !now.Before(n.screenFrom) && r.Deadline.After(n.answerBy)
+}
+
 // stopAccepting refuses new work from now on.
 func (n *Node) stopAccepting(now time.Time) []Command {
 	if n.closing {
