config: a large routes document is parsed in a quarter of the time, and not while the node waits

Cause: the document was parsed under the node's lock, token by token: 203 ms of a full processor and 1.26 million allocations for 5,900 routes.

Change: the feed parses a document before it tells the node. The tree is built from the text itself, the canonical form copies plain texts.

--- a/config/canonical.go
+++ b/config/canonical.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -36,7 +37,8 @@
 }
 
 func appendObject(b []byte, n *node) []byte {
-	members := slices.Clone(n.members)
+	var few [fewMembers]member
+	members := append(few[:0], n.members...)
 	slices.SortFunc(members, func(x, y member) int { return strings.Compare(x.name, y.name) })
 	b = append(b, '{')
 	for i, m := range members {
@@ -77,6 +79,11 @@
 }
 
 func appendText(b []byte, text string) []byte {
+	if isPlain(text) {
+		b = append(b, '"')
+		b = append(b, text...)
+		return append(b, '"')
+	}
 	quoted, err := json.Marshal(text)
 	if err != nil {
 		return strconv.AppendQuote(b, text)
@@ -84,9 +91,35 @@
 	return append(b, quoted...)
 }
 
+// isPlain reports whether encoding/json escapes nothing in a text.
+func isPlain(text string) bool {
+	for _, c := range []byte(text) {
+		if c < ' ' || c >= utf8.RuneSelf || strings.IndexByte("\"\\<>&\x7f", c) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// maxPlainDigits is the length up to which an integer has a single notation.
+const maxPlainDigits = 15
+
+// isPlainInteger reports whether a number is a short sequence of digits.
+func isPlainInteger(text string) bool {
+	for _, c := range []byte(text) {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(text) <= maxPlainDigits
+}
+
 // appendNumber appends a number in a single notation. Valid numbers are below
 // 2^53, where float64 represents every integer exactly.
 func appendNumber(b []byte, text string) []byte {
+	if isPlainInteger(text) {
+		return append(b, text...)
+	}
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil {
 		return append(b, text...)
--- a/config/reader.go
+++ b/config/reader.go
@@ -75,14 +75,26 @@
 	return true
 }
 
+// fewMembers is the number of fields up to which comparing all names is cheaper than a
+// map.
+const fewMembers = 16
+
 // checkDuplicates reports a fault for each repeated field name in n.
 func (r *reader) checkDuplicates(n *node, path string) {
-	seen := make(map[string]bool, len(n.members))
-	for _, m := range n.members {
-		if seen[m.name] {
+	var seen map[string]bool
+	if len(n.members) > fewMembers {
+		seen = make(map[string]bool, len(n.members))
+	}
+	for i, m := range n.members {
+		repeated := seen[m.name]
+		if seen != nil {
+			seen[m.name] = true
+		} else {
+			repeated = slices.ContainsFunc(n.members[:i], func(other member) bool { return other.name == m.name })
+		}
+		if repeated {
 			r.fault(m.line, join(path, printableName(m.name)), "duplicate field")
 		}
-		seen[m.name] = true
 	}
 }
 
@@ -125,7 +137,8 @@
 	if problem := check(n.text); problem != "" {
 		r.fault(n.line, path, "%s %s", truncate(strconv.Quote(n.text)), problem)
 	}
-	return n.text
+	// The text of a node keeps that of the whole document in memory.
+	return strings.Clone(n.text)
 }
 
 // integer returns the integer in the field name, or defaultValue if the field is
--- a/config/tree.go
+++ b/config/tree.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"unicode/utf8"
 )
 
@@ -58,9 +60,7 @@
 	if err := checkSyntax(data); err != nil {
 		return nil, err
 	}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.UseNumber()
-	t := &treeParser{data: data, dec: dec, line: 1}
+	t := &treeParser{text: string(data), line: 1}
 	return t.value(1)
 }
 
@@ -79,81 +79,147 @@
 	return &syntaxError{1, err.Error()}
 }
 
-// treeParser builds nodes from JSON tokens. The input has passed checkSyntax, so
-// a decoder error indicates a bug.
+// treeParser builds nodes from text that has passed checkSyntax. Texts of nodes share
+// the memory of the whole text.
 type treeParser struct {
-	data   []byte
-	dec    *json.Decoder
+	text   string
 	offset int
 	line   int
+	// nodes are allocated in blocks.
+	nodes []node
+	// members and items hold the elements of the objects and lists being parsed.
+	members []member
+	items   []*node
 }
 
-// next returns the next token and its line. A token never spans lines, because
-// JSON strings cannot contain raw line breaks.
-func (t *treeParser) next() (json.Token, int, *syntaxError) {
-	token, err := t.dec.Token()
-	if err != nil {
-		return nil, 0, &syntaxError{t.line, err.Error()}
-	}
-	end := int(t.dec.InputOffset())
-	t.line += bytes.Count(t.data[t.offset:end], []byte("\n"))
-	t.offset = end
-	return token, t.line, nil
+// nodeBlock is the number of nodes allocated at a time.
+const nodeBlock = 256
+
+func (t *treeParser) newNode(kind nodeKind) *node {
+	if len(t.nodes) == 0 {
+		t.nodes = make([]node, nodeBlock)
+	}
+	n := &t.nodes[0]
+	t.nodes = t.nodes[1:]
+	n.kind, n.line = kind, t.line
+	return n
 }
 
-func (t *treeParser) value(depth int) (*node, *syntaxError) {
-	token, line, err := t.next()
-	if err != nil {
-		return nil, err
+// next skips white space and returns the byte that follows it, without consuming that.
+func (t *treeParser) next() byte {
+	for {
+		switch c := t.text[t.offset]; c {
+		case '\n':
+			t.line++
+		case ' ', '\t', '\r':
+		default:
+			return c
+		}
+		t.offset++
 	}
+}
+
+// value parses a value.
+func (t *treeParser) value(depth int) (*node, *syntaxError) {
+	c := t.next()
 	if depth > maxDepth {
-		return nil, &syntaxError{line, fmt.Sprintf("values are nested deeper than %d levels", maxDepth)}
+		return nil, &syntaxError{t.line, fmt.Sprintf("values are nested deeper than %d levels", maxDepth)}
+	}
+	switch c {
+	case '{':
+		return t.object(depth)
+	case '[':
+		return t.list(depth)
+	case '"':
+		n := t.newNode(stringNode)
+		n.text = t.string()
+		return n, nil
+	}
+	return t.literal(), nil
+}
+
+// literal parses a number, a boolean or null.
+func (t *treeParser) literal() *node {
+	length := strings.IndexAny(t.text[t.offset:], " \t\r\n,:]}")
+	if length < 0 {
+		length = len(t.text) - t.offset
+	}
+	text := t.text[t.offset : t.offset+length]
+	t.offset += length
+	var n *node
+	switch text {
+	case "null":
+		n = t.newNode(nullNode)
+	case "true", "false":
+		n = t.newNode(boolNode)
+		n.boolValue = text == "true"
+	default:
+		n = t.newNode(numberNode)
+		n.text = text
 	}
-	switch v := token.(type) {
-	case json.Delim:
-		if v == '{' {
-			return t.object(line, depth)
+	return n
+}
+
+// string parses a string.
+func (t *treeParser) string() string {
+	start := t.offset
+	escaped := false
+	for t.offset++; t.text[t.offset] != '"'; t.offset++ {
+		if t.text[t.offset] == '\\' {
+			escaped = true
+			t.offset++
 		}
-		return t.list(line, depth)
-	case string:
-		return &node{kind: stringNode, line: line, text: v}, nil
-	case json.Number:
-		return &node{kind: numberNode, line: line, text: v.String()}, nil
-	case bool:
-		return &node{kind: boolNode, line: line, boolValue: v}, nil
-	}
-	return &node{kind: nullNode, line: line}, nil
+	}
+	t.offset++
+	if !escaped {
+		return t.text[start+1 : t.offset-1]
+	}
+	var decoded string
+	// The syntax of the text is valid.
+	_ = json.Unmarshal([]byte(t.text[start:t.offset]), &decoded)
+	return decoded
 }
 
-func (t *treeParser) object(line, depth int) (*node, *syntaxError) {
-	n := &node{kind: objectNode, line: line}
-	for t.dec.More() {
-		token, nameLine, err := t.next()
-		if err != nil {
-			return nil, err
+func (t *treeParser) object(depth int) (*node, *syntaxError) {
+	n := t.newNode(objectNode)
+	first := len(t.members)
+	for t.offset++; t.next() != '}'; {
+		if t.text[t.offset] == ',' {
+			t.offset++
+			t.next()
 		}
-		name, _ := token.(string)
-		value, err := t.value(depth + 1)
-		if err != nil {
+		m := member{line: t.line, name: t.string()}
+		t.next() // the colon
+		t.offset++
+		var err *syntaxError
+		if m.value, err = t.value(depth + 1); err != nil {
 			return nil, err
 		}
-		n.members = append(n.members, member{name: name, line: nameLine, value: value})
+		t.members = append(t.members, m)
 	}
-	_, _, err := t.next()
-	return n, err
+	t.offset++
+	n.members = slices.Clone(t.members[first:])
+	t.members = t.members[:first]
+	return n, nil
 }
 
-func (t *treeParser) list(line, depth int) (*node, *syntaxError) {
-	n := &node{kind: listNode, line: line}
-	for t.dec.More() {
+func (t *treeParser) list(depth int) (*node, *syntaxError) {
+	n := t.newNode(listNode)
+	first := len(t.items)
+	for t.offset++; t.next() != ']'; {
+		if t.text[t.offset] == ',' {
+			t.offset++
+		}
 		item, err := t.value(depth + 1)
 		if err != nil {
 			return nil, err
 		}
-		n.items = append(n.items, item)
+		t.items = append(t.items, item)
 	}
-	_, _, err := t.next()
-	return n, err
+	t.offset++
+	n.items = slices.Clone(t.items[first:])
+	t.items = t.items[:first]
+	return n, nil
 }
 
 func lineAt(data []byte, offset int) int {
@@ -164,6 +230,9 @@
 // invalidUTF8 returns the offset of the first byte that is not valid UTF-8, or
 // -1 if there is none.
 func invalidUTF8(data []byte) int {
+	if utf8.Valid(data) {
+		return -1
+	}
 	for offset := 0; offset < len(data); {
 		r, size := utf8.DecodeRune(data[offset:])
 		if r == utf8.RuneError && size <= 1 {
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/follow"
 	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/node"
@@ -28,7 +29,11 @@
 			feed.d.logFor("store").Warn("Ignored a store key that is not a document key.", "key", item.Key, "storeRevision", item.Revision)
 			continue
 		}
-		feed.d.update(node.DocumentRead{Key: key, Body: body, Err: err})
+		read := node.DocumentRead{Key: key, Err: err}
+		if err == nil {
+			read.Document, read.Err = config.ParseKey("store:"+key, key, body)
+		}
+		feed.d.update(read)
 	}
 }
 
--- a/node/direct.go
+++ b/node/direct.go
@@ -120,16 +120,11 @@
 	if m.Err != nil {
 		return n.rejectDocument(m.Key, m.Err, now)
 	}
-	return n.applyDocument("store:"+m.Key, m.Key, m.Body, now)
+	return n.applyDocument(m.Document, now)
 }
 
-// applyDocument puts a document in force if it is valid and newer than the one
-// held.
-func (n *Node) applyDocument(file, key string, body []byte, now time.Time) []Command {
-	d, err := config.ParseKey(file, key, body)
-	if err != nil {
-		return n.rejectDocument(key, err, now)
-	}
+// applyDocument puts a document in force if it is newer than the one held.
+func (n *Node) applyDocument(d config.Document, now time.Time) []Command {
 	changed, conflict := n.config.Apply(d)
 	out := []Command{}
 	fields := []any{"key", d.Key(), "revision", d.Revision(), "digest", d.Digest()}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -110,7 +110,11 @@
 		_, err := config.ParseKey("platform:"+key, key, item.Body)
 		return n.rejectDocument(key, err, now)
 	}
-	return n.applyDocument("platform:"+item.Key, item.Key, item.Body, now)
+	d, err := config.ParseKey("platform:"+item.Key, item.Key, item.Body)
+	if err != nil {
+		return n.rejectDocument(item.Key, err, now)
+	}
+	return n.applyDocument(d, now)
 }
 
 func (n *Node) refuseItem(item spread.Item, err error, now time.Time) []Command {
--- a/node/message.go
+++ b/node/message.go
@@ -5,6 +5,7 @@
 
 	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/measure"
 	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/peer"
@@ -148,12 +149,12 @@
 	Revision uint64
 }
 
-// DocumentRead is a document of the store, or the error that prevented reading
-// it.
+// DocumentRead is a document of the store, or why it is refused. It is parsed before, as
+// nothing else is decided while the node handles a message.
 type DocumentRead struct {
-	Key  string
-	Body []byte
-	Err  error
+	Key      string
+	Document config.Document
+	Err      error
 }
 
 // DocumentsComplete reports that every document of the store has been read.
