--- a/daemon/probing.go
+++ b/daemon/probing.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"pomelodoor.example/pomelodoor/exchange"
 	"pomelodoor.example/pomelodoor/measure"
 	"pomelodoor.example/pomelodoor/node"
 )
@@ -15,6 +16,9 @@
 // probeTimeout limits a probe that the node does not cancel earlier.
 const probeTimeout = 2 * time.Second
 
+// maxProbeBytes limits the body of a response to a probe.
+const maxProbeBytes = 64 << 10
+
 // prober runs probes of the local upstream, at most one at a time.
 type prober struct {
 	mu   sync.Mutex
@@ -59,10 +63,12 @@
 	if err := d.upstream.Do(ctx, req, resp); err != nil {
 		return measure.Reading{}, fmt.Errorf("probe the upstream: %w", err)
 	}
-	if resp.IsBodyStream() {
-		_ = resp.CloseBodyStream()
-		return measure.Reading{}, fmt.Errorf("probe the upstream: %w: the answer is too long", measure.ErrReading)
+	// A body without a length is streamed, however short it is.
+	body, err := exchange.ReadBody(resp, maxProbeBytes)
+	if err != nil {
+		return measure.Reading{}, fmt.Errorf("probe the upstream: %w: %w", measure.ErrReading, err)
 	}
+	resp.SetBodyRaw(body)
 	reading, err := d.dialect.ParseProbe(resp)
 	if err != nil {
 		return reading, fmt.Errorf("probe the upstream: %w", err)
