platform: a response of the store that keeps coming is not cut

Cause: a watch had its waiting time plus 1 s for the whole response, a list 2 s. The value of nearly 1 MiB, in base64, takes longer than that on such a link, so each read was cut while the response came.

--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -87,10 +87,16 @@
 // error wraps ErrTooLong if a stream has more than maxBytes bytes; otherwise it is the
 // read error.
 func ReadBody(resp *fasthttp.Response, maxBytes int) ([]byte, error) {
+	return ReadBodyProgress(resp, maxBytes, func() {})
+}
+
+// ReadBodyProgress is like ReadBody, and calls progress each time bytes have arrived.
+func ReadBodyProgress(resp *fasthttp.Response, maxBytes int, progress func()) ([]byte, error) {
 	if !resp.IsBodyStream() {
 		return resp.Body(), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), int64(maxBytes)+1))
+	stream := progressReader{reader: resp.BodyStream(), progress: progress}
+	body, err := io.ReadAll(io.LimitReader(stream, int64(maxBytes)+1))
 	_ = resp.CloseBodyStream()
 	if err != nil {
 		return nil, fmt.Errorf("read the response body: %w", err)
@@ -100,3 +106,18 @@
 	}
 	return body, nil
 }
+
+// progressReader calls progress after each read that returned bytes.
+type progressReader struct {
+	reader   io.Reader
+	progress func()
+}
+
+// Read reads from the underlying reader.
+func (p progressReader) Read(b []byte) (int, error) {
+	n, err := p.reader.Read(b)
+	if n > 0 {
+		p.progress()
+	}
+	return n, err
+}
