ingress: the caller's connection is checked out of turn only while the process is late

Change: the check runs while the process's ticks come over 200 ms apart, or did within the last second, which is when it is needed; it also saves a system call a request else.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -301,6 +301,7 @@
 	for {
 		select {
 		case <-ticker.C:
+			d.watch.Beat(time.Now())
 			d.update(node.Tick{})
 			d.queryNeighbour(time.Now())
 		case <-d.ctx.Done():
--- a/ingress/disconnect.go
+++ b/ingress/disconnect.go
@@ -19,6 +19,10 @@
 	waiting map[net.Conn]context.CancelFunc
 	// cancelled is set by CancelAll.
 	cancelled bool
+	// lastBeat is when Beat was last called, and lateUntil the time until which the
+	// process counts as late.
+	lastBeat  time.Time
+	lateUntil time.Time
 	// wake signals that there are connections to check again.
 	wake chan struct{}
 	stop chan struct{}
@@ -36,11 +40,11 @@
 	return w
 }
 
-// Context returns a context that ends at the deadline, or when the caller closes c. It has
-// ended already if the caller has closed c before: a request may wait for a busy process
-// longer than its caller. The returned function must be called when the request ends.
+// Context returns a context that ends at the deadline, or when the caller closes c. If the
+// process is late, it has ended already if the caller has closed c before. The returned
+// function must be called when the request ends.
 func (w *DisconnectWatcher) Context(c net.Conn, deadline time.Time) (context.Context, context.CancelFunc) {
-	watched := &watchedConn{conn: c}
+	watched := &watchedConn{watcher: w, conn: c}
 	ctx, cancel := context.WithDeadline(context.WithValue(context.Background(), watchedConnKey, watched), deadline)
 	watched.cancel = cancel
 	if CallerLeft(ctx, time.Now()) {
@@ -72,8 +76,9 @@
 
 // watchedConn is the connection of a caller.
 type watchedConn struct {
-	conn   net.Conn
-	cancel context.CancelFunc
+	watcher *DisconnectWatcher
+	conn    net.Conn
+	cancel  context.CancelFunc
 
 	mu sync.Mutex
 	// checked is when the connection was last checked by CallerLeft.
@@ -81,15 +86,15 @@
 }
 
 // CallerLeft reports whether ctx, a context of a DisconnectWatcher or derived from one,
-// has been cancelled or its caller has disconnected, and cancels it then. It checks the
-// connection unless that was done within disconnectPollInterval: a busy process may run the
-// watcher too late.
+// has been cancelled. If the process is late, it also checks the connection, and cancels the
+// context if the caller has disconnected: the watcher may run too late, too. Otherwise a
+// caller that has closed only its side of the connection may get a quick answer.
 func CallerLeft(ctx context.Context, now time.Time) bool {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return true
 	}
 	watched, ok := ctx.Value(watchedConnKey).(*watchedConn)
-	if !ok {
+	if !ok || !watched.watcher.Late(now) {
 		return false
 	}
 	watched.mu.Lock()
@@ -105,6 +110,38 @@
 	return true
 }
 
+const (
+	// maxBeatInterval is the time between two calls of Beat above which the process is
+	// late: it was stopped, or has more to do than its processor allows.
+	maxBeatInterval = 200 * time.Millisecond
+	// lateTime is how long a process that was late counts as such: until it has dealt
+	// with the requests that came meanwhile.
+	lateTime = time.Second
+)
+
+// Beat tells the watcher that the process runs. It must be called several times a second.
+func (w *DisconnectWatcher) Beat(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noteLateness(now)
+	w.lastBeat = now
+}
+
+// Late reports whether the process is late, or was a moment ago.
+func (w *DisconnectWatcher) Late(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noteLateness(now)
+	return now.Before(w.lateUntil)
+}
+
+// noteLateness records that the last call of Beat is too long ago.
+func (w *DisconnectWatcher) noteLateness(now time.Time) {
+	if !w.lastBeat.IsZero() && now.Sub(w.lastBeat) > maxBeatInterval {
+		w.lateUntil = now.Add(lateTime)
+	}
+}
+
 // CancelAll cancels all requests, present and future.
 func (w *DisconnectWatcher) CancelAll() {
 	w.mu.Lock()
