daemon: a process counts as late from its first moment on

Traced with each check printed, beside load: the daemon was stopped before its first tick, so no earlier beat showed that it was late.

TestInvalidRequestsGetOutcomeAndReason failed there too: another process took one of its ports between choosing and opening it. Its fleet, and the new test's pair of processes, now choose others then, as the fleet of package platform does.

--- a/cmd/pomelodoor/frozen_test.go
+++ b/cmd/pomelodoor/frozen_test.go
@@ -26,11 +26,29 @@
 type pair struct {
 	listen  string
 	daemons [2]*exec.Cmd
-	worker  *platformtest.Worker
+	// ended are closed when the daemons have ended.
+	ended  [2]chan struct{}
+	worker *platformtest.Worker
 }
 
-// startPair starts the daemons, and the upstream beside the one with the given index.
+// startPair starts the daemons, and the upstream beside the one with the given index, and
+// waits until it serves. The process of another test may take a free port first.
 func startPair(t *testing.T, upstream, slots int, work time.Duration) *pair {
+	t.Helper()
+	const tries = 5
+	for range tries {
+		p := newPair(t, upstream, slots, work)
+		for start := time.Now(); p.running() && time.Since(start) < 10*time.Second; time.Sleep(50 * time.Millisecond) {
+			if p.served() {
+				return p
+			}
+		}
+	}
+	t.Fatalf("no request is served after %d tries", tries)
+	return nil
+}
+
+func newPair(t *testing.T, upstream, slots int, work time.Duration) *pair {
 	t.Helper()
 	store := platformtest.NewStore()
 	endpoint, err := store.Open("")
@@ -63,18 +81,29 @@
 		if err := c.Start(); err != nil {
 			t.Fatal(err)
 		}
-		p.daemons[i] = c
+		p.daemons[i], p.ended[i] = c, make(chan struct{})
+		go func() {
+			_ = c.Wait()
+			close(p.ended[i])
+		}()
 		t.Cleanup(func() {
 			_ = c.Process.Kill()
-			_ = c.Wait()
+			<-p.ended[i]
 		})
 	}
-	for start := time.Now(); !p.served(); time.Sleep(50 * time.Millisecond) {
-		if time.Since(start) > 10*time.Second {
-			t.Fatal("no request is served within 10 s")
+	return p
+}
+
+// running reports whether both daemons run.
+func (p *pair) running() bool {
+	for _, ended := range p.ended {
+		select {
+		case <-ended:
+			return false
+		default:
 		}
 	}
-	return p
+	return true
 }
 
 // served reports whether a request is served.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -162,6 +162,7 @@
 		stopping:  make(chan struct{}),
 		ctx:       ctx, stop: stop,
 	}
+	d.watch.Beat(started)
 	d.store = platform.New(platform.Config{Address: settings.Store, ReportOdd: d.logOddItem})
 	d.burn = burn.New(burn.Config{Instance: settings.Instance, ServiceLevel: d.serviceLevel})
 	d.metrics = newMetrics(d)
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -64,19 +66,7 @@
 	w, err := standin.NewWorker(standin.WorkerConfig{ID: id, ServiceTime: time.Millisecond})
 	check(t, err)
 	t.Cleanup(w.Close)
-	addresses, err := standin.FreeAddrs(4)
-	check(t, err)
-	check(t, f.platform.SetInstance(standin.Instance{
-		ID: id, Service: "faults", AvailabilityZone: zone, Region: "north",
-		Listen: addresses[0], Peer: addresses[1], Control: addresses[2], State: "live",
-	}))
-	d, err := daemon.Start(daemon.Settings{
-		Instance: id, Service: "faults", AvailabilityZone: zone, Region: "north",
-		Listen: addresses[0], Peer: addresses[1], Control: addresses[2], Admin: addresses[3],
-		Upstream: w.Addr(), Platform: []string{f.platform.Addr()},
-		LogLevel: "info", LogFormat: "text", MaxStopSeconds: 5, FleetSize: 10,
-	}, log.New(io.Discard), daemon.Overrides{})
-	check(t, err)
+	d, addresses := f.start(t, id, zone, w)
 	t.Cleanup(func() { _ = d.Shutdown() })
 	f.workers = append(f.workers, w)
 	f.daemons = append(f.daemons, d)
@@ -85,6 +75,31 @@
 	f.admin = append(f.admin, addresses[3])
 }
 
+// start starts a daemon at free ports. The process of another test may take one of them
+// first.
+func (f *fleet) start(t testing.TB, id, zone string, w *standin.Worker) (*daemon.Daemon, []string) {
+	t.Helper()
+	for {
+		addresses, err := standin.FreeAddrs(4)
+		check(t, err)
+		d, err := daemon.Start(daemon.Settings{
+			Instance: id, Service: "faults", AvailabilityZone: zone, Region: "north",
+			Listen: addresses[0], Peer: addresses[1], Control: addresses[2], Admin: addresses[3],
+			Upstream: w.Addr(), Platform: []string{f.platform.Addr()},
+			LogLevel: "info", LogFormat: "text", MaxStopSeconds: 5, FleetSize: 10,
+		}, log.New(io.Discard), daemon.Overrides{})
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		check(t, err)
+		check(t, f.platform.SetInstance(standin.Instance{
+			ID: id, Service: "faults", AvailabilityZone: zone, Region: "north",
+			Listen: addresses[0], Peer: addresses[1], Control: addresses[2], State: "live",
+		}))
+		return d, addresses
+	}
+}
+
 // awaitStatus polls the status of an admin port until want accepts it.
 func awaitStatus(t testing.TB, admin string, want func(node.Status) bool) {
 	t.Helper()
