exchange: a request whose caller has left is not written once its connection is open

Cause, from the order of the steps: beside load the stop takes effect some milliseconds late, when the requests have passed the last check and wait for a connection to the upstream; then they are written.

Change: the pool asks once more when the request has a connection (Config.Abandoned). Requests with a key run under a context without a caller, in place of a condition at each check.

--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -61,7 +61,7 @@
 // sendPeer makes one attempt through another daemon, without measuring its
 // latency.
 func (d *Daemon) sendPeer(ctx context.Context, address string, f ingress.Forwarded, req *fasthttp.Request) *answer {
-	if !f.Request.Keyed() && ingress.CallerLeft(ctx, time.Now()) {
+	if ingress.CallerLeft(ctx, time.Now()) {
 		return &answer{result: node.Attempt{Outcome: call.NotRun, Reason: call.Cancelled}}
 	}
 	f.Revision = d.storeCopy.revision.Load()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -152,7 +152,7 @@
 		calls: newMailboxes(), runs: newMailboxes(), reserved: newReservations(), watch: ingress.NewDisconnectWatcher(),
 		upstream: exchange.New(exchange.Config{
 			Address: settings.Upstream, MaxConns: defaultUpstreamConns,
-			MatchesRequest: dialect.MatchesRequest, Attributable: dialect.Attributable,
+			MatchesRequest: dialect.MatchesRequest, Attributable: dialect.Attributable, Abandoned: ingress.CallerLeft,
 		}),
 		peers:     newPools(overrides.Dial),
 		registry:  registry.New(registry.Config{Addresses: settings.Platform}),
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -109,7 +109,7 @@
 	if !request.Keyed() {
 		return ctx
 	}
-	return context.WithoutCancel(ctx)
+	return ingress.WithoutCaller(ctx)
 }
 
 // load returns the current load of the local upstream.
@@ -225,7 +225,7 @@
 		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
 		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Stale}}
 	}
-	if !request.Keyed() && ingress.CallerLeft(ctx, start) {
+	if ingress.CallerLeft(ctx, start) {
 		cancel()
 		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Cancelled})
 		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Cancelled}}
--- a/daemon/pools.go
+++ b/daemon/pools.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/ingress"
 )
 
 // maxPeerConns limits the connections to one other daemon. peerDialTimeout limits
@@ -35,7 +36,7 @@
 	pool := p.byAddress[address]
 	if pool == nil {
 		pool = exchange.New(exchange.Config{
-			Address: address, MaxConns: maxPeerConns, DialTimeout: peerDialTimeout, Dial: p.dial,
+			Address: address, MaxConns: maxPeerConns, DialTimeout: peerDialTimeout, Dial: p.dial, Abandoned: ingress.CallerLeft,
 		})
 		p.byAddress[address] = pool
 	}
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -20,6 +20,7 @@
 var (
 	errTooManyInterim = errors.New("too many interim responses")
 	errMismatch       = errors.New("response belongs to another request")
+	errAbandoned      = errors.New("the request was given up before it was sent")
 )
 
 // Do sends req once and reads the response into resp. Its error wraps ErrNotSent,
@@ -32,10 +33,9 @@
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	c, err := p.get(ctx)
-	if err == nil && ctx.Err() != nil {
-		// The context has ended while the connection was opened.
+	if err == nil && p.abandoned(ctx) {
 		p.put(c)
-		err = ctx.Err()
+		err = errAbandoned
 	}
 	if err != nil {
 		p.awaitContextEnd(ctx)
@@ -55,6 +55,12 @@
 	return nil
 }
 
+// abandoned reports whether the request is not to be sent any more, although it has a
+// connection.
+func (p *Pool) abandoned(ctx context.Context) bool {
+	return ctx.Err() != nil || p.cfg.Abandoned != nil && p.cfg.Abandoned(ctx, p.cfg.Now())
+}
+
 // contextEndLimit limits the wait for a context whose deadline has passed.
 const contextEndLimit = 50 * time.Millisecond
 
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -38,6 +38,10 @@
 	// taken for the response to another request; nil accepts every response. After a
 	// response that is not attributable the connection is closed.
 	Attributable func(resp *fasthttp.Response) bool
+	// Abandoned reports whether a request is not to be sent any more. It is called once
+	// the request has a connection, the opening of which may have taken long; nil sends
+	// all.
+	Abandoned func(ctx context.Context, now time.Time) bool
 	// Now returns the time for idle timeouts; time.Now when nil.
 	Now func() time.Time
 }
--- a/ingress/disconnect.go
+++ b/ingress/disconnect.go
@@ -94,7 +94,7 @@
 		return true
 	}
 	watched, ok := ctx.Value(watchedConnKey).(*watchedConn)
-	if !ok || !watched.watcher.Late(now) {
+	if !ok || watched == nil || !watched.watcher.Late(now) {
 		return false
 	}
 	watched.mu.Lock()
@@ -110,6 +110,12 @@
 	return true
 }
 
+// WithoutCaller returns a context that does not end with ctx, and whose caller is not
+// looked after.
+func WithoutCaller(ctx context.Context) context.Context {
+	return context.WithValue(context.WithoutCancel(ctx), watchedConnKey, (*watchedConn)(nil))
+}
+
 const (
 	// maxBeatInterval is the time between two calls of Beat above which the process is
 	// late: it was stopped, or has more to do than its processor allows.
