--- a/config/limits.go
+++ b/config/limits.go
@@ -26,10 +26,10 @@
 // Bounds of a service document.
 const (
 	maxSlots                 = 10_000
-	maxConnections           = 100_000
+	MaxConnections           = 100_000
 	maxQueue                 = 100_000
 	maxTimeoutMs             = 3_600_000
-	maxBodyBytes             = 1 << 40
+	MaxBodyBytes             = 1 << 40
 	maxProbesPerSecond       = 100
 	maxEjectPercent          = 50
 	minControlBytesPerSecond = 100
@@ -69,10 +69,10 @@
 	slots := o.integer("slots", 1, maxSlots, defaultSlots)
 	l := Limits{
 		slots:       int(slots),
-		connections: int(o.integer("connections", 1, maxConnections, min(slots*connectionsPerSlot, maxConnections))),
+		connections: int(o.integer("connections", 1, MaxConnections, min(slots*connectionsPerSlot, MaxConnections))),
 		queue:       int(o.integer("queue", 0, maxQueue, slots*queuePerSlot)),
 		timeout:     time.Duration(o.integer("timeoutMs", 1, maxTimeoutMs, defaultTimeoutMs)) * time.Millisecond,
-		maxBody:     int64(o.integer("maxBodyBytes", 0, maxBodyBytes, defaultMaxBodyBytes)),
+		maxBody:     int64(o.integer("maxBodyBytes", 0, MaxBodyBytes, defaultMaxBodyBytes)),
 	}
 	if n, ok := o.field("connections"); ok && l.connections < l.slots {
 		r.fault(n.line, o.fieldPath("connections"), "is %d, below the %d slots, each of which needs a connection", l.connections, l.slots)
--- a/config/routes.go
+++ b/config/routes.go
@@ -23,8 +23,6 @@
 	MaxRouteWeight   = 1_000_000
 	// MaxRouteTimeout limits the timeout and the target latency.
 	MaxRouteTimeout = maxTimeoutMs * time.Millisecond
-	MaxConnections  = maxConnections
-	MaxBodyBytes    = maxBodyBytes
 
 	defaultAttempts = 3
 	unlimited       = math.MaxInt
@@ -130,7 +128,7 @@
 	parsed := &Routes{
 		byHost:           map[string][]*Route{},
 		upstreamSettings: r.upstreamSettings(o),
-		maxBody:          int64(o.integer("maxBodyBytes", 0, maxBodyBytes, defaultMaxBodyBytes)),
+		maxBody:          int64(o.integer("maxBodyBytes", 0, MaxBodyBytes, defaultMaxBodyBytes)),
 	}
 	items, _ := o.list("routes", unlimited)
 	for i, item := range items {
@@ -153,7 +151,7 @@
 			r.fault(item.line, o.fieldPath("service"), "%q is listed twice", truncate(name))
 		}
 		settings[name] = UpstreamSettings{
-			connections: int(o.integer("connections", 1, maxConnections, defaultSlots*connectionsPerSlot)),
+			connections: int(o.integer("connections", 1, MaxConnections, defaultSlots*connectionsPerSlot)),
 			probePath:   o.optionalText("probePath", checkPath, "/load"),
 		}
 	}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -56,8 +56,8 @@
 	if deadline.IsZero() {
 		deadline = now.Add(d.maxTimeout(request.Service))
 	}
-	callerCtx, stopWatch := d.watch.Context(ctx.Conn(), deadline)
-	if ingress.CallerLeft(callerCtx, time.Now()) {
+	callerCtx, stopWatch := d.watch.Context(ctx.Conn(), deadline, time.Now())
+	if errors.Is(callerCtx.Err(), context.Canceled) {
 		stopWatch()
 		d.refuseGone(ctx, request)
 		return
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -45,9 +45,9 @@
 	if !body.Replayable() {
 		_ = ctx.Conn().SetReadDeadline(f.Request.Deadline)
 	}
-	senderCtx, stopWatch := d.watch.Context(ctx.Conn(), f.Request.Deadline)
+	senderCtx, stopWatch := d.watch.Context(ctx.Conn(), f.Request.Deadline, time.Now())
 	reserved := d.reserved.claim(f.Request.ID)
-	if reserved == nil && !f.Request.Keyed() && ingress.CallerLeft(senderCtx, time.Now()) {
+	if reserved == nil && !f.Request.Keyed() && errors.Is(senderCtx.Err(), context.Canceled) {
 		stopWatch()
 		d.refuseGone(ctx, f.Request)
 		return
--- a/daemon/reservations.go
+++ b/daemon/reservations.go
@@ -60,7 +60,7 @@
 	if !added {
 		return fasthttp.StatusContinue
 	}
-	senderCtx, stopWatch := d.watch.Context(ctx.Conn(), f.Request.Deadline)
+	senderCtx, stopWatch := d.watch.Context(ctx.Conn(), f.Request.Deadline, time.Now())
 	defer stopWatch()
 	d.update(node.PeerRequest{
 		Request: f.Request, From: f.From, Target: f.Target, Incarnation: f.Incarnation,
--- a/ingress/disconnect.go
+++ b/ingress/disconnect.go
@@ -43,11 +43,11 @@
 // Context returns a context that ends at the deadline, or when the caller closes c. If the
 // process is late, it has ended already if the caller has closed c before. The returned
 // function must be called when the request ends.
-func (w *DisconnectWatcher) Context(c net.Conn, deadline time.Time) (context.Context, context.CancelFunc) {
+func (w *DisconnectWatcher) Context(c net.Conn, deadline, now time.Time) (context.Context, context.CancelFunc) {
 	watched := &watchedConn{watcher: w, conn: c}
 	ctx, cancel := context.WithDeadline(context.WithValue(context.Background(), watchedConnKey, watched), deadline)
 	watched.cancel = cancel
-	if CallerLeft(ctx, time.Now()) {
+	if CallerLeft(ctx, now) {
 		return ctx, cancel
 	}
 	w.mu.Lock()
--- a/ingress/disconnect_test.go
+++ b/ingress/disconnect_test.go
@@ -41,7 +41,7 @@
 			defer func() { _ = c.Close() }()
 			w := NewDisconnectWatcher()
 			defer w.Close()
-			ctx, stop := w.Context(c, start.Add(time.Hour))
+			ctx, stop := w.Context(c, start.Add(time.Hour), start)
 			defer stop()
 			_ = caller.Close()
 			time.Sleep(10 * time.Millisecond)
--- a/node/node.go
+++ b/node/node.go
@@ -321,7 +321,7 @@
 // end before its answer. In the first half of the stop requests are taken all the same,
 // as most end long before their deadline.
 func (n *Node) outlastsStop(r call.Request, now time.Time) bool {
-	return n.stopping && !n.answerBy.IsZero() && !now.Before(n.screenFrom) && r.Deadline.After(n.answerBy)
+	return !n.answerBy.IsZero() && !now.Before(n.screenFrom) && r.Deadline.After(n.answerBy)
 }
 
 // stopAccepting refuses new work from now on.
