node, daemon: a stop does not give up requests at which an upstream is at work

Callers saw: 502 4.95 s after SIGTERM with a grace of 6 s, for a request that was sent 2.47 s after it and that its upstream finished 0.05 s later. Cause: in the first half of a stop every request was taken, and the last ones were answered 1.05 s before the end of the grace. Change: a request whose deadline lies after the stop is refused if requests of its route took longer than what is left of the stop in the last 30 to 60 s. The margin for the end of the process is 0.6 s (0.8 s), so the last requests are answered 5.15 s after the signal.

--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -254,8 +254,9 @@
 }
 
 // stopMargin is the part of the platform's time limit for stopping a process that
-// a shutdown leaves unused.
-const stopMargin = 800 * time.Millisecond
+// a shutdown leaves unused. Together with answerReserve it is less than a sixth of a limit
+// of 6 s: requests at which an upstream is at work are not given up before.
+const stopMargin = 600 * time.Millisecond
 
 // finishReserve is the time left for running requests after the ports have
 // closed: about as long as callers wait.
--- a/node/admission.go
+++ b/node/admission.go
@@ -169,6 +169,7 @@
 	service := time.Duration(0)
 	if !failed {
 		service = n.learnWork(run, m.Latency)
+		n.observeRouteTime(run.request.Route, m.Latency, now)
 	}
 	if m.Reason != call.Cancelled {
 		// A run cancelled by the caller says nothing about the upstream.
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -179,6 +179,7 @@
 	failed := m.Result.Outcome == call.Run && isUpstreamFault(m.Result.Status)
 	if m.Result.Outcome == call.Run && !failed {
 		n.policy(c.service, now).ObserveLatency(m.Result.Latency)
+		n.observeRouteTime(c.request.Route, m.Result.Latency, now)
 		return n.deliver(c, m.Number, now)
 	}
 	if failed {
--- a/node/node.go
+++ b/node/node.go
@@ -5,7 +5,6 @@
 
 	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/balance"
-	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/measure"
 	"pomelodoor.example/pomelodoor/membership"
@@ -109,8 +108,9 @@
 	// last one.
 	senders map[string]time.Time
 	// routeWork is the expected processing time of each route's requests at
-	// nominal pace.
-	routeWork map[string]time.Duration
+	// nominal pace, and routeTimes the longest time from request to answer.
+	routeWork  map[string]time.Duration
+	routeTimes map[string]*longestTime
 	// sentPace, sentCalls and zoneSentAt are the content and time of the last
 	// load report to the availability zone.
 	sentPace   int
@@ -164,8 +164,8 @@
 		meter:     measure.New(measure.Config{Rand: cfg.Rand}),
 		homes:     map[string]*homeSet{},
 		senders:   map[string]time.Time{},
-		routeWork: map[string]time.Duration{},
-		suspects:  quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
+		routeWork: map[string]time.Duration{}, routeTimes: map[string]*longestTime{},
+		suspects: quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
 		coordinator: once.New(once.Config{
 			Self:    once.Incarnation{ID: cfg.Self.ID, Number: cfg.Incarnation},
 			Started: cfg.Started,
@@ -317,13 +317,6 @@
 	return n.stopAccepting(now)
 }
 
-// outlastsStop reports whether a request is refused because the stop of the daemon may
-// end before its answer. In the first half of the stop requests are taken all the same,
-// as most end long before their deadline.
-func (n *Node) outlastsStop(r call.Request, now time.Time) bool {
-	return !n.answerBy.IsZero() && !now.Before(n.screenFrom) && r.Deadline.After(n.answerBy)
-}
-
 // stopAccepting refuses new work from now on.
 func (n *Node) stopAccepting(now time.Time) []Command {
 	if n.closing {
