follow: answers count from their arrival, and a reader's request ends a backoff

Causes: a poller in the backoff of its own failed read ignored a reader's request to read the store, for up to 9.6 s; and a process that had been stopped counted answers that had arrived meanwhile as confirmed at its waking.

Change: a request of a reader with a fresh copy shortens the backoff to at most 28 % of the time for a change on average. Answers of the store, polls and lent copies count from the time by which they had arrived, which is the last beat of the process before a gap.

The calls of TestFleetCalls are unchanged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,9 +84,10 @@
 	admin    *ingress.Server
 	ready    *ingress.Server
 
-	metrics *metrics
-	burnMu  sync.Mutex
-	burn    *burn.Burn
+	heartbeat heartbeat
+	metrics   *metrics
+	burnMu    sync.Mutex
+	burn      *burn.Burn
 
 	// leaving makes every response close its connection. An idle connection could
 	// receive a request just as the ports close.
@@ -162,6 +163,7 @@
 		stopping:  make(chan struct{}),
 		ctx:       ctx, stop: stop,
 	}
+	d.heartbeat.beat(started)
 	d.watch.Beat(started)
 	d.store = platform.New(platform.Config{Address: settings.Store, ReportOdd: d.logOddItem})
 	d.burn = burn.New(burn.Config{Instance: settings.Instance, ServiceLevel: d.serviceLevel})
@@ -302,6 +304,7 @@
 	for {
 		select {
 		case <-ticker.C:
+			d.heartbeat.beat(time.Now())
 			d.watch.Beat(time.Now())
 			d.update(node.Tick{})
 			d.queryNeighbour(time.Now())
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -133,6 +133,7 @@
 			d.readFailed(ctx)
 			return err
 		}
+		page.Received = d.heartbeat.receivedBy(time.Now())
 		d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool { return f.Listed(page, now) })
 		return nil
 	}
@@ -152,7 +153,8 @@
 		d.readFailed(ctx)
 		return err
 	}
-	d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool { return f.Watched(changes, asOf, now) })
+	page := follow.Page{Items: changes, AsOf: asOf, Received: d.heartbeat.receivedBy(time.Now())}
+	d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool { return f.Watched(page, now) })
 	return nil
 }
 
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -34,6 +34,9 @@
 	Leaving bool
 	// ReadStore is true if the changes are too many to send.
 	ReadStore bool
+	// Received is the time by which the copy had arrived, if that is earlier than the time
+	// at which it is applied.
+	Received time.Time
 	// Items are all items of a lent copy, or the changes of a poll.
 	Items []Item
 }
@@ -100,7 +103,7 @@
 	clear(f.retainedUntil)
 	f.forgetHistory(c.Revision)
 	f.revision, f.lentRevision, f.listed = c.Revision, c.Revision, false
-	f.confirmedAt = later(f.confirmedAt, now.Add(-c.Age))
+	f.confirmedAt = later(f.confirmedAt, receivedBy(c.Received, now).Add(-c.Age))
 	return true
 }
 
--- a/follow/copy_test.go
+++ b/follow/copy_test.go
@@ -211,7 +211,7 @@
 					lender.Listed(s.page(), now)
 					f.ApplyCopy(lender.Lend(0, 1, now), "n-1", now)
 					before = f.Revision()
-					f.Watched(changes, asOf, now)
+					f.Watched(follow.Page{Items: changes, AsOf: asOf}, now)
 				}
 			case "fail":
 				f.Failed(now)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -78,12 +78,15 @@
 	Deleted  bool
 }
 
-// Page is one response to List.
+// Page is one response to List or Watch.
 type Page struct {
 	Items []Item
 	More  bool
 	// AsOf is the store's revision at the time of the response.
 	AsOf uint64
+	// Received is the time by which the response had arrived, if that is earlier than
+	// the time at which it is applied: a process may have been frozen in between.
+	Received time.Time
 }
 
 // Follower holds the copy of the store and the state of reading it.
@@ -112,6 +115,11 @@
 	nextPollAt    time.Time
 	readRequested bool
 	directJitter  time.Duration
+	// requestedReadAt is when a read that a reader has asked for is due although the
+	// last read failed; zero if none has asked since.
+	requestedReadAt time.Time
+	// failedAt is the time of the last failure of the store.
+	failedAt time.Time
 
 	everListed bool
 	// lenders are the other daemons that have lent a certain copy.
@@ -202,20 +210,19 @@
 	}
 	f.replace(f.pendingItems, now)
 	f.forgetHistory(f.listRevision)
-	f.confirm(now)
+	f.confirm(receivedBy(page.Received, now))
 	f.lentRevision, f.everListed = 0, true
 	f.listed, f.pendingItems, f.lastKey, f.revision = true, nil, "", f.listRevision
 	return true
 }
 
-// Watched applies the changes up to the revision asOf. It reports whether the copy
-// has changed.
-func (f *Follower) Watched(changes []Item, asOf uint64, now time.Time) bool {
+// Watched applies the changes of a watch. It reports whether the copy has changed.
+func (f *Follower) Watched(page Page, now time.Time) bool {
 	f.answered(now)
-	f.confirm(now)
+	f.confirm(receivedBy(page.Received, now))
 	changed := f.expire(now)
-	changed = f.applyChanges(changes, now) || changed
-	f.revision = max(f.revision, asOf)
+	changed = f.applyChanges(page.Items, now) || changed
+	f.revision = max(f.revision, page.AsOf)
 	if changed {
 		f.notBefore = now.Add(f.watchDelay())
 	}
@@ -280,10 +287,7 @@
 	} else {
 		f.listed, f.pendingItems, f.lastKey = false, nil, ""
 	}
-	if f.cfg.Rand != nil {
-		backoff = backoff/2 + time.Duration(f.cfg.Rand()%uint64(backoff))
-	}
-	f.notBefore = now.Add(backoff)
+	f.notBefore, f.failedAt, f.requestedReadAt = now.Add(f.jittered(backoff)), now, time.Time{}
 	f.awaitAnswer(now)
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -36,7 +36,7 @@
 }
 
 func watched(asOf uint64, changes ...follow.Item) step {
-	return func(f *follow.Follower, now time.Time) { f.Watched(changes, asOf, now) }
+	return func(f *follow.Follower, now time.Time) { f.Watched(follow.Page{Items: changes, AsOf: asOf}, now) }
 }
 
 func failed(f *follow.Follower, now time.Time)      { f.Failed(now) }
@@ -206,7 +206,7 @@
 	case a.Kind == follow.Watch && cut:
 		f.Failed(now)
 	case a.Kind == follow.Watch:
-		f.Watched(s.watch(a.Revision), s.revision, now)
+		f.Watched(follow.Page{Items: s.watch(a.Revision), AsOf: s.revision}, now)
 	}
 }
 
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -40,6 +40,10 @@
 	// maxDirectSpreadPercent is the part of Config.ApplyWithin, in percent, over which the
 	// daemons that have lost their readers spread their reads.
 	maxDirectSpreadPercent = 10
+	// requestedReadPercent is the part of Config.ApplyWithin, in percent, for which a
+	// daemon whose own read failed waits with the next one, on average, although a reader
+	// asks for it. After readDelayPercent and half of this again a change is still in time.
+	requestedReadPercent = 28
 )
 
 func (c Config) percent(n int) time.Duration { return c.ApplyWithin * time.Duration(n) / 100 }
@@ -90,6 +94,8 @@
 // readAt returns when a daemon that polls reads the store itself.
 func (f *Follower) readAt() time.Time {
 	switch {
+	case f.inFault && !f.requestedReadAt.IsZero():
+		return earlier(f.notBefore, f.requestedReadAt)
 	case f.inFault:
 		return f.notBefore
 	case f.shared:
@@ -149,10 +155,21 @@
 	return f.cfg.WatchDelay
 }
 
+// requestReadInFault shortens the backoff after a failed read: the store answers the
+// reader that asks for a read, so the fault may be over. The daemons of an availability
+// zone are asked at the same moment, and spread their reads.
+func (f *Follower) requestReadInFault(now time.Time) {
+	if !f.inFault || !f.requestedReadAt.IsZero() {
+		return
+	}
+	wait := min(minBackoff<<min(f.failures-1, 8), f.cfg.percent(requestedReadPercent))
+	f.requestedReadAt = later(now.Add(f.directSpread()), f.failedAt.Add(f.jittered(wait)))
+}
+
 // Polled applies a reader's answer to a poll. It reports whether the copy may have
 // changed.
 func (f *Follower) Polled(c Copy, from string, now time.Time) bool {
-	age := c.Age
+	age := c.Age + now.Sub(receivedBy(c.Received, now))
 	if c.Leaving || age >= f.cfg.percent(maxAgePercent) {
 		f.suspectReader(from, minSuspicion, now)
 	} else {
@@ -160,6 +177,9 @@
 	}
 	if c.ReadStore {
 		f.readRequested = true
+		if age < f.cfg.percent(maxAgePercent) {
+			f.requestReadInFault(now)
+		}
 		return false
 	}
 	if grace := now.Add(c.Grace); c.Grace > 0 && grace.After(f.graceUntil) {
@@ -234,10 +254,33 @@
 func (f *Follower) confirm(at time.Time) {
 	f.confirmedAt = at
 	f.readRequested = false
-	f.directJitter = 0
-	if spread := f.cfg.percent(maxDirectSpreadPercent); f.cfg.Rand != nil && spread > 0 {
-		f.directJitter = time.Duration(f.cfg.Rand() % uint64(spread))
+	f.directJitter = f.directSpread()
+}
+
+// directSpread returns a random delay by which daemons that read the store for the same
+// reason spread their reads.
+func (f *Follower) directSpread() time.Duration {
+	spread := f.cfg.percent(maxDirectSpreadPercent)
+	if f.cfg.Rand == nil || spread <= 0 {
+		return 0
+	}
+	return time.Duration(f.cfg.Rand() % uint64(spread))
+}
+
+// jittered returns a random duration of half to one and a half times the given one.
+func (f *Follower) jittered(d time.Duration) time.Duration {
+	if f.cfg.Rand == nil || d <= 0 {
+		return d
+	}
+	return d/2 + time.Duration(f.cfg.Rand()%uint64(d))
+}
+
+// receivedBy returns the time by which an answer had arrived that is applied now.
+func receivedBy(received, now time.Time) time.Time {
+	if received.IsZero() || received.After(now) {
+		return now
 	}
+	return received
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -29,6 +29,16 @@
 	return follow.Copy{Revision: 5, Age: time.Duration(ms) * time.Millisecond}
 }
 
+// readStore is the answer of a reader whose copy is ms old and that has too many changes.
+func readStore(ms int) follow.Copy {
+	return follow.Copy{Revision: 7, Age: time.Duration(ms) * time.Millisecond, ReadStore: true}
+}
+
+// received is an answer of the store that had arrived earlier than it is applied.
+func received(by time.Time, asOf uint64) step {
+	return func(f *follow.Follower, now time.Time) { f.Watched(follow.Page{AsOf: asOf, Received: by}, now) }
+}
+
 func TestPolling(t *testing.T) {
 	poll := func(reader string, revision uint64, ms int) follow.Action {
 		return follow.Action{Kind: follow.Poll, Reader: reader, Revision: revision, Timeout: time.Duration(ms) * time.Millisecond}
@@ -59,7 +69,15 @@
 		"a failed read polls meanwhile":              {[]event{{1300, failed}}, 1310, poll("r-1", 5, 190)},
 		"a failed read is repeated":                  {[]event{{1300, failed}}, 1500, read(5)},
 		"a reader ends the fault":                    {[]event{{1300, failed}, {1400, polled(confirmed(0), "r-1")}}, 1500, poll("r-1", 5, 1200)},
-		"lost history is listed":                     {[]event{{1300, historyLost}}, 1301, follow.Action{Kind: follow.List}},
+		// A poller in the backoff of a failed read keeps an old copy for up to 9.6 s if it
+		// does not follow its reader; one whose reader is cut off too spares the store.
+		"a failed read follows a reader":                  {[]event{{1300, failed}, {1310, failed}, {1320, polled(readStore(100), "r-1")}}, 1410, read(5)},
+		"a failed read does not follow at once":           {[]event{{1300, failed}, {1310, failed}, {1320, polled(readStore(100), "r-1")}}, 1400, wait(1410)},
+		"a failed read follows often":                     {[]event{{1300, failed}, {1400, failed}, {1500, failed}, {1600, failed}, {1700, failed}, {1800, polled(readStore(0), "r-1")}}, 2260, read(5)},
+		"a failed read ignores a reader with an old copy": {[]event{{1300, failed}, {1310, failed}, {1320, polled(readStore(1300), "r-1")}}, 1410, poll("r-2", 5, 300)},
+		"an answer counts from its receipt":               {[]event{{1300, received(at(400), 5)}}, 1310, poll("r-1", 5, 390)},
+		"a reader's answer counts from its receipt":       {[]event{{1200, polled(follow.Copy{Revision: 5, Age: 50 * time.Millisecond, Received: at(450)}, "r-1")}}, 1210, poll("r-1", 5, 490)},
+		"lost history is listed":                          {[]event{{1300, historyLost}}, 1301, follow.Action{Kind: follow.List}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/follow/simulation_test.go
+++ b/follow/simulation_test.go
@@ -90,6 +90,8 @@
 	waiting []*simWait
 	fault   simFault
 	until   time.Time
+	// frozenAt is the start of the last freeze.
+	frozenAt time.Time
 	// disturbedAt is the end of the last fault.
 	disturbedAt time.Time
 	// held is the revision that the member holds.
@@ -183,6 +185,9 @@
 	if m.fault != "" && until.Before(m.until) {
 		return
 	}
+	if fault == frozen && m.fault != frozen {
+		m.frozenAt = m.fleet.now
+	}
 	m.fault, m.until = fault, until
 	m.fleet.after(d, func() {
 		if !m.fleet.now.Before(m.until) {
@@ -215,6 +220,15 @@
 	})
 }
 
+// received returns the time by which an answer that arrives now has arrived, as its
+// member can tell later: one that was frozen meanwhile knows only that it ran before.
+func (m *simMember) received() time.Time {
+	if m.fault == frozen {
+		return m.frozenAt
+	}
+	return m.fleet.now
+}
+
 // end ends an action: it applies the result, wakes the polls and acts again.
 func (m *simMember) end(apply func()) {
 	m.deliver(func() {
@@ -258,7 +272,10 @@
 			for _, item := range s.items {
 				page.Items = append(page.Items, item)
 			}
-			s.reply(w, func() { m.f.Listed(page, s.now) })
+			s.reply(w, func(received time.Time) {
+				page.Received = received
+				m.f.Listed(page, s.now)
+			})
 		})
 		return
 	}
@@ -269,8 +286,13 @@
 				changes = append(changes, item)
 			}
 		}
-		asOf := s.revision
-		s.after(storeDelay, func() { s.reply(w, func() { m.f.Watched(changes, asOf, s.now) }) })
+		page := follow.Page{Items: changes, AsOf: s.revision}
+		s.after(storeDelay, func() {
+			s.reply(w, func(received time.Time) {
+				page.Received = received
+				m.f.Watched(page, s.now)
+			})
+		})
 	}
 	if s.revision > w.revision {
 		w.answer()
@@ -289,13 +311,14 @@
 }
 
 // reply applies an answer of the store unless its member is cut off from it.
-func (s *simFleet) reply(w *simWait, apply func()) {
+func (s *simFleet) reply(w *simWait, apply func(received time.Time)) {
 	m := w.member
 	if w.done || s.storeDown() || m.fault == storeCut || m.fault == cutOff {
 		return
 	}
 	w.done = true
-	m.end(apply)
+	received := m.received()
+	m.end(func() { apply(received) })
 }
 
 func (m *simMember) poll(action follow.Action) {
@@ -325,6 +348,7 @@
 				return
 			}
 			w.done = true
+			c.Received = m.received()
 			m.end(func() { m.f.Polled(c, action.Reader, s.now) })
 		})
 	}
