exchange: an error in a response's body is not passed over

Symptom: a chunk that is longer than its size says could end a response as a complete one.

Cause: the error comes together with the chunk's last bytes, and the library's writer of chunks ignores it and reads on.

Change: a response's body returns its first error again.

--- a/exchange/incomplete_test.go
+++ b/exchange/incomplete_test.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// TestIncompleteResponses: a response that breaks off is never taken for a complete one. A
-// reset is reported only once, and the write of a long upload may take that report.
+// TestIncompleteResponses: a response that breaks off is never taken for a complete one.
+// Each case is read twice more after its end, as a writer of chunks does.
 func TestIncompleteResponses(t *testing.T) {
 	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	tests := map[string]struct {
@@ -75,6 +75,7 @@
 		"chunks, closed between two":                   {script: writeResponse(chunked + "4\r\npart\r\n")},
 		"chunks, closed within one":                    {script: writeResponse(chunked + "9\r\npart")},
 		"chunks, closed after the last one":            {script: writeResponse(chunked + "4\r\npart\r\n0\r\n")},
+		"chunks, one is longer than it says":           {script: writeResponse(chunked + "4\r\npart00\r\n\r\n")},
 		"long, closed early":                           {script: writeResponse("HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\npart")},
 		"long, the writer of the upload fails":         {script: resetAfter("HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\npart"), upload: true, readLate: true},
 		"short, closed early":                          {script: writeResponse("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")},
@@ -108,6 +109,11 @@
 					t.Fatalf("got the complete response %q", resp.Body())
 				}
 				_, err = io.ReadAll(resp.BodyStream())
+				for range 2 {
+					if _, again := resp.BodyStream().Read(make([]byte, 9)); again == nil || errors.Is(again, io.EOF) {
+						t.Errorf("got %v after the end, want an error", again)
+					}
+				}
 			}
 			if !errors.Is(err, exchange.ErrResponseLost) {
 				t.Fatalf("got error %v, want ErrResponseLost", err)
--- a/exchange/stream.go
+++ b/exchange/stream.go
@@ -49,10 +49,17 @@
 	inner *fasthttp.Response
 	done  func(whole bool)
 	ended bool
+	// err is the first error. A writer of chunks ignores an error that comes with bytes,
+	// and reads again.
+	err error
 }
 
-// Read reads from the body, and returns the connection to the pool at its end.
+// Read reads from the body, and returns the connection to the pool at its end. After an
+// error it returns that again.
 func (s *responseStream) Read(p []byte) (int, error) {
+	if s.err != nil {
+		return 0, s.err
+	}
 	if s.ended {
 		return 0, io.EOF
 	}
@@ -62,9 +69,9 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		return n, fmt.Errorf("%w while streaming the body: %w", ErrResponseLost, err)
+		s.err = fmt.Errorf("%w while streaming the body: %w", ErrResponseLost, err)
 	}
-	return n, nil
+	return n, s.err
 }
 
 // Close ends the response early, which closes the connection.
