exchange: a status outside 200 to 599 is no response

Symptom: 000 reached the caller as 200, 600 and 999 as they were, and 001 and 101 made it wait until its deadline.

Cause: the parser accepts any three digits, the library returns 200 for 0, and anything below 200 was skipped as interim.

Change: such a status ends the exchange at once. The outcome is unknown (invalidResponse, a new reason; older daemons pass it on), unless the upstream proves that nothing has run. On the platform, that proof also holds with a status below 200.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -23,6 +23,7 @@
 	ConnectionLost   Reason = "connectionLost"
 	DeadlineExceeded Reason = "deadlineExceeded"
 	InProgress       Reason = "inProgress"
+	InvalidResponse  Reason = "invalidResponse"
 	KeyExpired       Reason = "keyExpired"
 	KeyHomeGone      Reason = "keyHomeGone"
 	KeyReused        Reason = "keyReused"
--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -131,6 +131,8 @@
 		return outcome, call.Cancelled
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return outcome, call.DeadlineExceeded
+	case errors.Is(err, exchange.ErrInvalidStatus):
+		return outcome, call.InvalidResponse
 	case errors.Is(err, exchange.ErrBusy):
 		return outcome, call.Overloaded
 	case outcome == call.NotRun:
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -271,6 +271,7 @@
 	call.ConnectionLost:   "the connection broke before the answer",
 	call.DeadlineExceeded: "the deadline passed",
 	call.InProgress:       "a request with this key is running",
+	call.InvalidResponse:  "the upstream sent no valid response",
 	call.KeyExpired:       "the key has expired",
 	call.KeyHomeGone:      "the daemon that knows this key cannot be asked",
 	call.KeyReused:        "the key belongs to another request",
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -22,8 +22,10 @@
 	// copiesLent those sent to them.
 	copiesBorrowed, copiesLent expvar.Int
 	// polls counts the answers of other daemons that read the store for this one.
-	polls     expvar.Int
-	latencies *latencies
+	polls expvar.Int
+	// invalidResponses counts responses of the upstream with an invalid status.
+	invalidResponses expvar.Int
+	latencies        *latencies
 }
 
 // newMetrics returns the metrics of a daemon, published in one expvar map.
@@ -48,6 +50,7 @@
 	m.vars.Set("copiesBorrowed", &m.copiesBorrowed)
 	m.vars.Set("copiesLent", &m.copiesLent)
 	m.vars.Set("storePolls", &m.polls)
+	m.vars.Set("invalidResponses", &m.invalidResponses)
 	m.vars.Set("storeCopy", expvar.Func(func() any { return d.storeCopy.status(time.Now()) }))
 	m.vars.Set("controlBytesOut", expvar.Func(func() any { return d.control.BytesOut() }))
 	m.vars.Set("controlBytesIn", expvar.Func(func() any { return d.control.BytesIn() }))
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -234,9 +234,18 @@
 	d.dialect.WriteUpstreamHeaders(&req.Header, request, start)
 	resp := fasthttp.AcquireResponse()
 	err := d.upstream.Do(ctx, req, resp)
+	if errors.Is(err, exchange.ErrInvalidStatus) {
+		// No response, but it may hold the proof that nothing has run.
+		d.metrics.invalidResponses.Add(1)
+		if report := d.dialect.ParseResponse(resp); report.NotRun {
+			cancel()
+			return d.shed(request, resp, report, time.Since(start))
+		}
+	}
 	if err != nil {
 		outcome, reason := classifyFailure(ctx, err)
 		crashed := errors.Is(err, exchange.ErrResponseLost) && ctx.Err() == nil && !errors.Is(err, exchange.ErrBodySource) &&
+			!errors.Is(err, exchange.ErrInvalidStatus) &&
 			d.upstreamDown()
 		if crashed {
 			reason = call.UpstreamCrashed
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -24,10 +24,10 @@
 )
 
 // Do sends req once and reads the response into resp. Its error wraps ErrNotSent,
-// ErrResponseLost or ErrBodySource. When the body is longer than MaxBufferedBytes,
-// resp holds a stream: the connection returns to the pool once the stream has been
-// read to its end, and is closed if resp.CloseBodyStream is called earlier. The end
-// of ctx closes the connection, also during streaming.
+// ErrResponseLost or ErrBodySource. With ErrInvalidStatus, resp holds the head. When the
+// body is longer than MaxBufferedBytes, resp holds a stream: the connection returns to the
+// pool once the stream has been read to its end, and is closed if resp.CloseBodyStream is
+// called earlier. The end of ctx closes the connection, also during streaming.
 func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -47,7 +47,7 @@
 		stop()
 		p.discard(c)
 		p.awaitContextEnd(ctx)
-		if ctx.Err() == nil && errors.Is(err, ErrResponseLost) {
+		if ctx.Err() == nil && errors.Is(err, ErrResponseLost) && !errors.Is(err, ErrInvalidStatus) {
 			p.Flush()
 		}
 		return withCause(ctx, err)
@@ -126,7 +126,8 @@
 		_ = c.SetWriteDeadline(time.Time{})
 	}
 	if err != nil {
-		if writeErr != nil {
+		invalid := errors.Is(err, ErrInvalidStatus) && !errors.Is(writeErr, ErrNotSent)
+		if writeErr != nil && !invalid {
 			return writeErr
 		}
 		return fmt.Errorf("%w while reading the response head: %w", ErrResponseLost, err)
@@ -210,14 +211,15 @@
 const maxMatchAttempts = 3
 
 // readMatchingHead reads the head of the response, and discards responses to earlier
-// requests.
+// requests. With ErrInvalidStatus, the head belongs to the request.
 func (p *Pool) readMatchingHead(c *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
 	for range maxMatchAttempts {
-		if err := readHead(c, resp); err != nil {
+		err := readHead(c, resp)
+		if err != nil && !errors.Is(err, ErrInvalidStatus) {
 			return err
 		}
 		if p.cfg.MatchesRequest == nil || p.cfg.MatchesRequest(req, resp) {
-			return nil
+			return err
 		}
 		length := resp.Header.ContentLength()
 		if length < 0 {
@@ -251,19 +253,6 @@
 	return nil
 }
 
-// readHead reads the head of the final response and discards interim ones.
-func readHead(c *conn, resp *fasthttp.Response) error {
-	for range maxResponseHeads {
-		if err := resp.Header.Read(c.reader); err != nil {
-			return fmt.Errorf("read response head: %w", err)
-		}
-		if resp.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-	return errTooManyInterim
-}
-
 // hasNoBody reports whether the response has no body (RFC 9112, section 6.3).
 func hasNoBody(req *fasthttp.Request, resp *fasthttp.Response) bool {
 	status := resp.StatusCode()
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -8,6 +8,9 @@
 	// ErrResponseLost means that bytes of the request were sent and no complete
 	// response arrived.
 	ErrResponseLost = errors.New("exchange: response lost")
+	// ErrInvalidStatus means that a response has a status that none may have: 101, or one
+	// outside 100 to 599. Such an error wraps ErrResponseLost, too.
+	ErrInvalidStatus = errors.New("exchange: invalid status")
 	// ErrBodySource means that the source of the request body ended early or failed.
 	ErrBodySource = errors.New("exchange: request body failed")
 	// ErrBusy means that MaxConns connections are in use.
