exchange: interim responses are skipped while a body waits for 100

Symptom: a 102 or 103 before 100 Continue was delivered as the final response, and the body was not sent.

Cause: on that path each head but 100 was final. Invalid statuses passed as well.

Change: heads are read there as everywhere.

Measured: six cases of TestInterimBeforeBody fail before and pass now; exchange passes.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -145,10 +145,16 @@
 	if err != nil {
 		return false, fmt.Errorf("%w while writing the request head: %w", ErrResponseLost, err)
 	}
-	if err := resp.Header.Read(c.reader); err != nil {
-		return false, fmt.Errorf("%w while waiting for 100 Continue: %w", ErrResponseLost, err)
+	for range maxResponseHeads {
+		final, err := readOneHead(c, resp)
+		if err != nil {
+			return false, fmt.Errorf("%w while waiting for 100 Continue: %w", ErrResponseLost, err)
+		}
+		if final || resp.StatusCode() == fasthttp.StatusContinue {
+			return !final, nil
+		}
 	}
-	return resp.StatusCode() == fasthttp.StatusContinue, nil
+	return false, fmt.Errorf("%w while waiting for 100 Continue: %w", ErrResponseLost, errTooManyInterim)
 }
 
 // sendBody sends the body after the server has asked for it.
