Evacuation of an availability zone

Operators need to take the instances of a zone out of use without stopping anything in it. So far only single instances could leave.

A document of kind zones, and on the users' platform the keys op/evacuate/ZONE, name the evacuated zones. The node leaves their instances out of the candidates; the daemon beside such an instance refuses new and queued requests with the reason evacuated, lets running ones end, stays ready and serves its callers through other zones. A sender that is refused with this reason leaves the whole zone out for that request.

TestDocumentedExamples expects a fourth example, the zones document.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -113,6 +113,7 @@
 	pace        pace
 	contention  contention
 	draining    bool
+	evacuated   bool
 	lastEvent   time.Time
 	resumedAt   time.Time
 }
@@ -198,6 +199,17 @@
 // Open ends a drain after the upstream has started to serve again.
 func (g *Gate) Open() { g.draining = false }
 
+// Evacuate stops new work because the availability zone is evacuated. Like Drain it lets
+// running calls continue and refuses queued ones; each of the two ends for itself.
+func (g *Gate) Evacuate(now time.Time) []Action {
+	actions := g.advance(now)
+	g.evacuated = true
+	return append(actions, g.refuseAll(call.Evacuated)...)
+}
+
+// EndEvacuation accepts new work again, unless the Gate drains.
+func (g *Gate) EndEvacuation() { g.evacuated = false }
+
 // Tick refuses queued calls whose deadline has passed and, if Limits.Paced is set,
 // starts queued calls.
 func (g *Gate) Tick(now time.Time) []Action {
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -82,6 +82,16 @@
 			g.Arrive(request("a", call.Normal, 1000), at(0))
 			return append(g.Drain(at(1)), g.Arrive(request("b", call.Normal, 1000), at(2))...)
 		}, "[{refuse a leaving} {refuse b leaving}]"},
+		"refuses queued and new calls during an evacuation": {true, 2, func(g *admit.Gate) []admit.Action {
+			g.Arrive(request("a", call.Normal, 1000), at(0))
+			return append(g.Evacuate(at(1)), g.Arrive(request("b", call.Normal, 1000), at(2))...)
+		}, "[{refuse a evacuated} {refuse b evacuated}]"},
+		"drains after an evacuation that began during the drain": {true, 2, func(g *admit.Gate) []admit.Action {
+			g.Drain(at(0))
+			g.Evacuate(at(1))
+			g.EndEvacuation()
+			return g.Arrive(request("b", call.Normal, 1000), at(2))
+		}, "[{refuse b leaving}]"},
 		"cancels a running call once": {true, 2, func(g *admit.Gate) []admit.Action {
 			return append(g.Cancel("running", at(1)), g.Cancel("running", at(2))...)
 		}, "[{cancel running }]"},
@@ -115,7 +125,9 @@
 	ended    map[string]bool
 	running  map[string]bool
 	drained  bool
-	now      time.Time
+	// evacuated is true during an evacuation.
+	evacuated bool
+	now       time.Time
 }
 
 func (m *model) check(t *rapid.T, actions []admit.Action) {
@@ -125,8 +137,8 @@
 		}
 		switch a.Kind {
 		case admit.Start:
-			if m.drained || !m.now.Before(m.deadline[a.CallID]) || m.running[a.CallID] {
-				t.Fatalf("got action %v at %v with drained = %v", a, m.now, m.drained)
+			if m.drained || m.evacuated || !m.now.Before(m.deadline[a.CallID]) || m.running[a.CallID] {
+				t.Fatalf("got action %v at %v with drained = %v, evacuated = %v", a, m.now, m.drained, m.evacuated)
 			}
 			m.running[a.CallID] = true
 		case admit.Refuse:
@@ -176,6 +188,14 @@
 		"leave": func(t *rapid.T) { m.check(t, m.gate.Cancel(pick(t), m.now)) },
 		"drain": func(t *rapid.T) { m.drained = true; m.check(t, m.gate.Drain(m.now)) },
 		"open":  func(*rapid.T) { m.drained = false; m.gate.Open() },
+		"evacuate": func(t *rapid.T) {
+			m.evacuated = true
+			m.check(t, m.gate.Evacuate(m.now))
+			if m.gate.Queued() > 0 {
+				t.Fatalf("%d calls queued during an evacuation", m.gate.Queued())
+			}
+		},
+		"end evacuation": func(*rapid.T) { m.evacuated = false; m.gate.EndEvacuation() },
 		"wait": func(t *rapid.T) {
 			m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 20, 100, 30000}).Draw(t, "ms")) * time.Millisecond)
 			m.check(t, m.gate.Tick(m.now))
--- a/admit/decide.go
+++ b/admit/decide.go
@@ -40,6 +40,8 @@
 		return call.InProgress, true
 	case g.draining:
 		return call.Leaving, true
+	case g.evacuated:
+		return call.Evacuated, true
 	case expired(req, now):
 		return call.DeadlineExceeded, true
 	}
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -38,6 +38,7 @@
 	incarnation uint64
 	seen        bool      // as a candidate
 	rampStart   time.Time // start of its growing share; zero if it does not grow
+	returnedAt  time.Time // last call of Return
 	observed    Estimate  // of the calls sent by this daemon
 	// excessSlowdown is the average slowdown of calls compared with other
 	// upstreams, as a factor less 1, and linkDelay the excess link delay in
@@ -129,7 +130,7 @@
 // closed reports whether the upstream accepts no new calls.
 func (u *upstream) closed(now time.Time) bool {
 	return (u.load.State == Draining || u.load.State == Down) &&
-		now.Sub(u.measuredAt) < closedReportTTL
+		now.Sub(u.measuredAt) < u.closedFor()
 }
 
 // startedSince counts the outstanding calls that started after at, which a report
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -22,6 +22,7 @@
 	ConnectFailed    Reason = "connectFailed"
 	ConnectionLost   Reason = "connectionLost"
 	DeadlineExceeded Reason = "deadlineExceeded"
+	Evacuated        Reason = "evacuated"
 	InProgress       Reason = "inProgress"
 	KeyExpired       Reason = "keyExpired"
 	KeyHomeGone      Reason = "keyHomeGone"
--- a/cmd/pomelodoor/main_test.go
+++ b/cmd/pomelodoor/main_test.go
@@ -23,6 +23,7 @@
 	}
 	good := write("good.json", goodService)
 	bad := write("bad.json", "{\"kind\":\"service\",\n\"revision\":0,\n\"service\":\"faults\",\"colour\":1}")
+	zones := write("zones.json", `{"kind":"zones","revision":1,"evacuated":["b"]}`)
 	logFile := write("daemon.log", `{"time":"2026-12-04T10:00:00.300Z","prefix":"ingress","msg":"A request is answered.","id":"r1","call":"c1","status":503,"reason":"overloaded"}`)
 	settings := strings.Fields("run --instance faults-1 --service faults --availability-zone a --listen 127.0.0.1:1 " +
 		"--peer 127.0.0.1:2 --control 127.0.0.1:3 --admin 127.0.0.1:4 --upstream 127.0.0.1:5 --platform 127.0.0.1:6")
@@ -45,6 +46,8 @@
 		"check bad":           {[]string{"check", good, bad}, exitFault, []string{"bad.json:2: revision", "bad.json:3: colour"}},
 		"check no file":       {[]string{"check", filepath.Join(dir, "none")}, exitFault, []string{"none"}},
 		"explain":             {[]string{"explain", "--caller", "dispatch-1", "--instance", "faults-1:a", "--instance", "faults-2:b", good}, exitOK, []string{"dispatchers", "faults-1", "faults-2"}},
+		"explain evacuation":  {[]string{"explain", "--caller", "dispatch-1", "--instance", "faults-2:b", "--evacuation", zones, good}, exitOK, []string{"- upstream faults-2", "is evacuated"}},
+		"explain other zones": {[]string{"explain", "--caller", "dispatch-1", "--evacuation", good, good}, exitFault, []string{"not a zones document"}},
 		"trace":               {[]string{"trace", "--request", "r1", logFile}, exitOK, []string{"A request is answered.", "status=503", "reason=overloaded"}},
 		"trace as JSON":       {[]string{"trace", "--request", "r1", "--json", logFile}, exitOK, []string{`"text":"A request is answered."`, `"shiftMs":0`}},
 		"trace without query": {[]string{"trace", logFile}, exitFault, []string{"no request"}},
--- a/config/docs_test.go
+++ b/config/docs_test.go
@@ -32,8 +32,8 @@
 
 func TestDocumentedExamples(t *testing.T) {
 	documents := parseExamples(t, "configuration.md")
-	if len(documents) != 3 || documents[0].Switches() == nil || documents[1].Service() == nil || documents[2].Routes() == nil {
-		t.Fatalf("got %d examples, want a switches, a service and a routes document", len(documents))
+	if len(documents) != 4 || documents[0].Switches() == nil || documents[1].Service() == nil || documents[2].Routes() == nil || documents[3].Zones() == nil {
+		t.Fatalf("got %d examples, want a switches, a service, a routes and a zones document", len(documents))
 	}
 	for _, a := range config.Actions() {
 		if !strings.Contains(readPage(t, "configuration.md"), fmt.Sprintf("\n| `%s` |", a)) {
--- a/config/document.go
+++ b/config/document.go
@@ -26,7 +26,7 @@
 // ValidKey reports whether key is a valid document key.
 func ValidKey(key string) bool {
 	name, ok := strings.CutPrefix(key, servicePrefix)
-	return key == KeySwitches || key == KeyRoutes || ok && checkService(name) == ""
+	return key == KeySwitches || key == KeyRoutes || key == KeyZones || ok && checkService(name) == ""
 }
 
 // Kind is the type of a document.
@@ -37,6 +37,7 @@
 	KindService  Kind = "service"
 	KindSwitches Kind = "switches"
 	KindRoutes   Kind = "routes"
+	KindZones    Kind = "zones"
 )
 
 // Document is a valid, parsed document. It is immutable and safe for concurrent
@@ -51,9 +52,10 @@
 	service  *Service
 	switches *Switches
 	routes   *Routes
+	zones    *Zones
 }
 
-// Key returns the document's key: "switches", "routes" or "services/NAME".
+// Key returns the document's key: "switches", "routes", "zones" or "services/NAME".
 func (d Document) Key() string { return d.key }
 
 // Kind returns the type of the document.
@@ -79,6 +81,9 @@
 // Routes returns the content of a routes document, or nil for other kinds.
 func (d Document) Routes() *Routes { return d.routes }
 
+// Zones returns the content of a zones document, or nil for other kinds.
+func (d Document) Zones() *Zones { return d.zones }
+
 // Parse parses and validates one document. Any error is an *InvalidError that
 // lists the faults found. file is used only to report the location of a fault.
 func Parse(file string, data []byte) (Document, error) {
@@ -136,6 +141,9 @@
 	case KindRoutes:
 		d.routes = r.routes(root)
 		d.key = KeyRoutes
+	case KindZones:
+		d.zones = r.zones(root)
+		d.key = KeyZones
 	}
 	if _, ok := o.field("revision"); !ok {
 		r.fault(root.line, "revision", "is missing")
@@ -155,31 +163,35 @@
 
 func checkKind(text string) string {
 	switch Kind(text) {
-	case KindService, KindSwitches, KindRoutes:
+	case KindService, KindSwitches, KindRoutes, KindZones:
 		return ""
 	}
-	return "is an unknown kind, want service, switches or routes"
+	return "is an unknown kind, want service, switches, routes or zones"
 }
 
 // Version returns the position of d among documents with the same key, for
 // callers that can only compare numbers. Comparing major, then minor, gives the
 // same order as Newer as long as no two digests share their upper 56 bits. major
 // is the revision. The upper 8 bits of minor hold the number of actions that a
-// switches document denies, the lower 56 bits the upper bits of the digest.
+// switches document denies, or of zones that a zones document evacuates, the lower
+// 56 bits the upper bits of the digest.
 func (d Document) Version() (major, minor uint64) {
-	const deniedBits = 8
-	minor = d.hash >> deniedBits
-	if d.switches != nil {
-		denied := len(actions) - d.switches.count()
-		minor |= uint64(denied) << (64 - deniedBits)
+	const cautionBits = 8
+	caution := 0
+	switch {
+	case d.switches != nil:
+		caution = len(actions) - d.switches.count()
+	case d.zones != nil:
+		caution = len(d.zones.evacuated)
 	}
+	minor = d.hash>>cautionBits | uint64(caution)<<(64-cautionBits)
 	return d.revision, minor
 }
 
 // Newer reports whether a takes precedence over b, a document with the same
 // key. The higher revision wins. If two operators used the same revision, the
-// switches document that allows fewer actions wins, then the higher digest. For
-// service documents any fixed order works, provided all daemons use the same.
+// switches document that allows fewer actions wins, or the zones document that
+// evacuates more zones, then the higher digest. For service documents any fixed order works, provided all daemons use the same.
 func Newer(a, b Document) bool {
 	aMajor, aMinor := a.Version()
 	bMajor, bMinor := b.Version()
--- a/config/explain.go
+++ b/config/explain.go
@@ -13,6 +13,8 @@
 type Candidate struct {
 	Instance         string `json:"instance"`
 	AvailabilityZone string `json:"availabilityZone"`
+	// Evacuated is true if the zone is evacuated, so that the instance gets no requests.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // Explanation describes how a service chooses the upstreams for a caller.
@@ -43,8 +45,8 @@
 }
 
 // Explain describes which selector of svc matches caller and, for each of the
-// instances, why it does or does not serve the caller. It considers only the
-// document: an instance that is said to serve may still be full, ejected or gone.
+// instances, why it does or does not serve the caller. It considers only
+// documents: an instance that is said to serve may still be full, ejected or gone.
 func Explain(svc *Service, caller string, instances ...Candidate) Explanation {
 	sel, _ := svc.Select(caller)
 	e := Explanation{Service: svc.name, Caller: caller, Priority: svc.Priority(caller)}
@@ -79,11 +81,13 @@
 	u := UpstreamExplanation{
 		Candidate: c,
 		Labels:    svc.Labels(c.Instance, c.AvailabilityZone),
-		Serves:    svc.Serves(sel, c.Instance, c.AvailabilityZone),
+		Serves:    !c.Evacuated && svc.Serves(sel, c.Instance, c.AvailabilityZone),
 	}
 	switch {
 	case sel == nil:
 		u.Why = "no selector matches the caller"
+	case c.Evacuated:
+		u.Why = "its availability zone is evacuated"
 	case len(sel.upstreamLabels) == 0:
 		u.Why = "the selector matches every upstream"
 	case u.Serves:
--- a/config/set.go
+++ b/config/set.go
@@ -23,6 +23,7 @@
 	services  map[string]*Service
 	switches  *Switches
 	routes    *Routes
+	zones     *Zones
 	// defaultServices holds a service with default settings for each service in
 	// the routes document.
 	defaultServices map[string]*Service
@@ -78,6 +79,9 @@
 		s.routes = d.routes
 		s.defaultServices = newDefaultServices(d.routes)
 	}
+	if d.zones != nil {
+		s.zones = d.zones
+	}
 	delete(s.conflicts, d.key)
 }
 
@@ -134,6 +138,14 @@
 // Routes returns the routes in force, or nil if there is no routes document.
 func (s *Set) Routes() *Routes { return s.routes }
 
+// EvacuatedZones returns the zones that the zones document in force evacuates, sorted.
+func (s *Set) EvacuatedZones() []string {
+	if s.zones == nil {
+		return nil
+	}
+	return s.zones.Evacuated()
+}
+
 // newDefaultServices returns a service with default settings for each service
 // that routes lists. Its connections and body size limit come from routes, and
 // its timeout is the longest one allowed.
--- a/config/status.go
+++ b/config/status.go
@@ -21,6 +21,8 @@
 	// Allowed lists the actions that are currently allowed.
 	Allowed   []Action `json:"allowed"`
 	Documents int      `json:"documents"`
+	// EvacuatedZones lists the zones that the zones document evacuates.
+	EvacuatedZones []string `json:"evacuatedZones"`
 	// Summary is Set.Summary in hex.
 	Summary   string      `json:"summary"`
 	Conflicts []Conflict  `json:"conflicts"`
@@ -37,6 +39,7 @@
 		Confirmed:        s.confirmed,
 		Allowed:          slices.DeleteFunc(Actions(), func(a Action) bool { return !s.Allowed(a) }),
 		Documents:        len(s.documents),
+		EvacuatedZones:   s.EvacuatedZones(),
 		Summary:          fmt.Sprintf("%016x", s.summary),
 		Conflicts:        s.Conflicts(),
 		Refused:          s.Rejections(),
@@ -67,9 +70,11 @@
 type Group struct {
 	// Switches describes the switches in force. Summary identifies the documents
 	// in force.
-	Switches  string   `json:"switches"`
-	Documents int      `json:"documents"`
-	Summary   string   `json:"summary"`
+	Switches  string `json:"switches"`
+	Documents int    `json:"documents"`
+	Summary   string `json:"summary"`
+	// Evacuated lists the zones that the zones document in force evacuates.
+	Evacuated []string `json:"evacuated,omitempty"`
 	Instances []string `json:"instances"`
 }
 
@@ -96,7 +101,7 @@
 		s := statuses[instance]
 		id := s.switchesText() + " " + s.Summary
 		if groups[id] == nil {
-			groups[id] = &Group{Switches: s.switchesText(), Documents: s.Documents, Summary: s.Summary}
+			groups[id] = &Group{Switches: s.switchesText(), Documents: s.Documents, Summary: s.Summary, Evacuated: s.EvacuatedZones}
 		}
 		groups[id].Instances = append(groups[id].Instances, instance)
 		for _, text := range s.notes() {
@@ -141,6 +146,9 @@
 	var b strings.Builder
 	for i, g := range c.Groups {
 		fmt.Fprintf(&b, "%d instances: %s, %d documents, summary %s", len(g.Instances), g.Switches, g.Documents, g.Summary)
+		if len(g.Evacuated) > 0 {
+			fmt.Fprintf(&b, ", evacuated %s", strings.Join(g.Evacuated, " "))
+		}
 		if i > 0 {
 			fmt.Fprintf(&b, ": %s", abbreviate(g.Instances))
 		}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -270,6 +270,7 @@
 	call.ConnectFailed:    "no connection to the upstream could be opened",
 	call.ConnectionLost:   "the connection broke before the answer",
 	call.DeadlineExceeded: "the deadline passed",
+	call.Evacuated:        "the availability zone is evacuated",
 	call.InProgress:       "a request with this key is running",
 	call.KeyExpired:       "the key has expired",
 	call.KeyHomeGone:      "the daemon that knows this key cannot be asked",
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/node"
 )
 
@@ -51,6 +52,9 @@
 	case node.Run:
 		d.runs.put(c.ID, c)
 	case node.Refuse:
+		if c.Reason == call.Evacuated {
+			d.metrics.evacuated.Add(1)
+		}
 		d.runs.put(c.ID, c)
 	case node.HandOn:
 		d.runs.put(c.ID, c)
--- /dev/null
+++ b/daemon/evacuation.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"slices"
+	"strings"
+
+	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/follow"
+	"pomelodoor.example/pomelodoor/node"
+	"pomelodoor.example/pomelodoor/platform"
+)
+
+// evacuationFeed sends the node the complete list of the zones that the store evacuates when
+// it has changed.
+type evacuationFeed struct {
+	d    *Daemon
+	sent []string
+	// reported holds the revisions of the odd keys that have been logged.
+	reported map[string]uint64
+}
+
+func (feed *evacuationFeed) feed(f *follow.Follower) {
+	var zones []string
+	for key, item := range f.Items() {
+		if !strings.HasPrefix(key, platform.EvacuationsPrefix) {
+			continue
+		}
+		zone, err := platform.DecodeEvacuation(item)
+		if err != nil {
+			feed.report(item, err)
+			continue
+		}
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	if slices.Equal(zones, feed.sent) {
+		return
+	}
+	feed.sent = zones
+	feed.d.update(node.ZonesEvacuated{Zones: zones, Revision: f.Revision()})
+}
+
+func (feed *evacuationFeed) report(item follow.Item, err error) {
+	if feed.reported[item.Key] >= item.Revision {
+		return
+	}
+	feed.reported[item.Key] = item.Revision
+	feed.d.logFor("store").Warn("Ignored a store key that names no availability zone to evacuate.", "storeRevision", item.Revision, "error", err)
+}
+
+// refuseEvacuated ends a run that has not been sent yet, and returns false if it may be sent.
+// The body of a request may arrive long after the decision to run it.
+func (d *Daemon) refuseEvacuated(request call.Request) (*answer, bool) {
+	d.mu.Lock()
+	evacuated := d.node.Evacuated()
+	d.mu.Unlock()
+	if !evacuated {
+		return nil, false
+	}
+	d.metrics.evacuated.Add(1)
+	outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Evacuated})
+	return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Evacuated}}, true
+}
+
+// evacuationReport is the state of evacuations in the metrics.
+func (d *Daemon) evacuationReport() any {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return map[string]any{
+		"zones": slices.Clone(d.node.EvacuatedZones()), "own": d.node.Evacuated(), "refused": d.metrics.evacuated.Value(),
+	}
+}
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -20,7 +20,8 @@
 
 func (feed *documentFeed) feed(f *follow.Follower) {
 	for _, item := range f.Items() {
-		if !strings.HasPrefix(item.Key, platform.DocumentsPrefix) || item.Revision <= feed.seen[item.Key] {
+		if !strings.HasPrefix(item.Key, platform.DocumentsPrefix) || strings.HasPrefix(item.Key, platform.EvacuationsPrefix) ||
+			item.Revision <= feed.seen[item.Key] {
 			continue
 		}
 		feed.seen[item.Key] = item.Revision
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,6 +18,8 @@
 	// handedOn counts requests forwarded to a sibling before they ran.
 	handedOn expvar.Int
 	probes   expvar.Int
+	// evacuated counts the requests that this daemon refused because its zone was evacuated.
+	evacuated expvar.Int
 	// copiesBorrowed counts the copies of the store taken over from neighbours,
 	// copiesLent those sent to them.
 	copiesBorrowed, copiesLent expvar.Int
@@ -45,6 +47,7 @@
 	m.vars.Set("furtherAttempts", &m.furtherAttempts)
 	m.vars.Set("handedOn", &m.handedOn)
 	m.vars.Set("probes", &m.probes)
+	m.vars.Set("evacuation", expvar.Func(d.evacuationReport))
 	m.vars.Set("copiesBorrowed", &m.copiesBorrowed)
 	m.vars.Set("copiesLent", &m.copiesLent)
 	m.vars.Set("storePolls", &m.polls)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -230,6 +230,10 @@
 		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Cancelled})
 		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Cancelled}}
 	}
+	if a, refused := d.refuseEvacuated(request); refused {
+		cancel()
+		return a
+	}
 	request.UpstreamIncarnation = r.UpstreamIncarnation
 	d.dialect.WriteUpstreamHeaders(&req.Header, request, start)
 	resp := fasthttp.AcquireResponse()
--- a/daemon/store_copy.go
+++ b/daemon/store_copy.go
@@ -22,6 +22,7 @@
 	mu        sync.Mutex
 	follower  *follow.Follower
 	documents *documentFeed
+	evacuated *evacuationFeed
 	upstreams *upstreamFeed
 	// source is "store", or the address of the reader that keeps the copy current.
 	source string
@@ -40,6 +41,7 @@
 		renewed:   make(chan struct{}),
 		follower:  follow.New(follow.Config{Rand: rand.Uint64, WatchDelay: d.settings.watchDelay(), ApplyWithin: d.settings.bounds.ApplyTimeout}),
 		documents: &documentFeed{d: d, seen: map[string]uint64{}},
+		evacuated: &evacuationFeed{d: d, reported: map[string]uint64{}},
 		upstreams: &upstreamFeed{d: d, ports: d.ports(), decoded: map[string]decodedUpstream{}},
 	}
 }
@@ -52,6 +54,9 @@
 	changed := change(s.follower)
 	s.revision.Store(s.follower.Revision())
 	if changed {
+		// A request needs both routes and upstreams, so none is sent before the node
+		// knows what is evacuated.
+		s.evacuated.feed(s.follower)
 		s.documents.feed(s.follower)
 		s.upstreams.feed(s.follower, time.Now())
 	}
--- a/node/admission.go
+++ b/node/admission.go
@@ -65,7 +65,7 @@
 // refuseOrHandOn ends a request that the gate will not start, unless it can be
 // handed on to a sibling.
 func (n *Node) refuseOrHandOn(run *runState, reason call.Reason, now time.Time) Command {
-	if n.mayHandOn(reason) {
+	if n.mayHandOn(run, reason) {
 		if c, ok := n.handOn(run, now); ok {
 			return c
 		}
@@ -75,7 +75,11 @@
 
 // mayHandOn reports whether a request refused for this reason may be handed on
 // to a sibling.
-func (n *Node) mayHandOn(reason call.Reason) bool {
+func (n *Node) mayHandOn(run *runState, reason call.Reason) bool {
+	if reason == call.Evacuated && run.keyGranted {
+		// Its home alone knows about the key, so the sender has no other to try.
+		return true
+	}
 	if !n.config.Allowed(config.HandOn) {
 		return false
 	}
@@ -170,8 +174,9 @@
 	if !failed {
 		service = n.learnWork(run, m.Latency)
 	}
-	if m.Reason != call.Cancelled {
-		// A run cancelled by the caller says nothing about the upstream.
+	if m.Reason != call.Cancelled && m.Reason != call.Evacuated {
+		// A run cancelled by the caller, or refused before it was sent, says nothing
+		// about the upstream.
 		n.localEstimate.Observe(m.Latency, failed, now)
 	}
 	out = append(out, n.applyGateActions(n.gate.Finish(m.ID, service, now), now)...)
@@ -221,6 +226,8 @@
 		load.Pace, load.Age = pace, now.Sub(at)
 	}
 	switch {
+	case n.Evacuated():
+		load.State = balance.Draining
 	case n.awaitsUpstream():
 		// Others may know of the upstream before this daemon does. They would not
 		// send anything to one that drains for some time.
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -15,29 +15,39 @@
 }
 
 // candidateSet is the list of upstreams that one selector allows, at one
-// generation of the membership and one summary of the documents.
+// generation of the membership and of the evacuations and one summary of the documents.
 type candidateSet struct {
-	generation uint64
-	summary    uint64
-	list       []balance.Candidate
+	generation  uint64
+	evacuations uint64
+	summary     uint64
+	list        []balance.Candidate
+	// evacuated is true if an evacuation excludes some upstreams.
+	evacuated bool
 }
 
-// candidates returns the live upstreams of a service that a selector allows.
-// The list is cached until a record or a document changes.
+// candidates returns the live upstreams of a service that a selector allows and that are
+// in no evacuated zone. The list is cached until a record, a document or an evacuation
+// changes.
 func (n *Node) candidates(service *config.Service, selector *config.Selector) *candidateSet {
 	key := candidateKey{service.Name(), selector.Name()}
 	set := n.sets[key]
 	generation, summary := n.view.Generation(), n.config.Summary()
-	if set != nil && set.generation == generation && set.summary == summary {
+	evacuations := n.evacuation.generation
+	if set != nil && set.generation == generation && set.summary == summary && set.evacuations == evacuations {
 		return set
 	}
-	set = &candidateSet{generation: generation, summary: summary}
+	set = &candidateSet{generation: generation, evacuations: evacuations, summary: summary}
 	for _, r := range n.view.Serving(service.Name()) {
-		if service.Serves(selector, r.Name(), r.AvailabilityZone) {
-			set.list = append(set.list, balance.Candidate{
-				ID: r.ID, Zone: r.AvailabilityZone, Incarnation: r.Incarnation,
-			})
+		if !service.Serves(selector, r.Name(), r.AvailabilityZone) {
+			continue
 		}
+		if n.evacuation.includes(r.AvailabilityZone) {
+			set.evacuated = true
+			continue
+		}
+		set.list = append(set.list, balance.Candidate{
+			ID: r.ID, Zone: r.AvailabilityZone, Incarnation: r.Incarnation,
+		})
 	}
 	n.sets[key] = set
 	return set
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -111,12 +111,15 @@
 	if c.request.Keyed() {
 		return n.chooseHome(c)
 	}
-	list := n.candidates(c.service, c.selector).list
-	i, ok := n.pick(c.service, list, c.tried, n.pickOptions(c, now), now)
+	set := n.candidates(c.service, c.selector)
+	if len(set.list) == 0 && set.evacuated {
+		return "", call.Evacuated, false
+	}
+	i, ok := n.pick(c.service, set.list, c.tried, n.pickOptions(c, now), now)
 	if !ok {
 		return "", call.NoUpstream, false
 	}
-	return list[i].ID, "", true
+	return set.list[i].ID, "", true
 }
 
 // pick chooses among candidates, using Config.Choose if it is set.
@@ -184,6 +187,9 @@
 	if failed {
 		c.faultyAttempt = m.Number
 	}
+	if m.Result.Reason == call.Evacuated {
+		n.avoidZone(c, a.target)
+	}
 	if len(c.open) > 0 {
 		// The other attempt may still return a good answer.
 		return nil
--- a/node/message.go
+++ b/node/message.go
@@ -149,6 +149,13 @@
 	Revision uint64
 }
 
+// ZonesEvacuated is the complete list of the availability zones that the store evacuates, at
+// a revision. It precedes the InstancesListed of the same revision.
+type ZonesEvacuated struct {
+	Zones    []string
+	Revision uint64
+}
+
 // DocumentRead is a document of the store, or why it is refused. It is parsed before, as
 // nothing else is decided while the node handles a message.
 type DocumentRead struct {
@@ -193,6 +200,7 @@
 func (InstancesRead) message()     {}
 func (GateDue) message()           {}
 func (InstancesListed) message()   {}
+func (ZonesEvacuated) message()    {}
 func (DocumentRead) message()      {}
 func (DocumentsComplete) message() {}
 func (StoreAnswered) message()     {}
--- a/node/node.go
+++ b/node/node.go
@@ -81,6 +81,8 @@
 	links     *links
 	uncertain bool
 
+	evacuation evacuation
+
 	// Admission: the requests for the local upstream.
 	runs          map[string]*runState
 	gate          *admit.Gate
@@ -247,6 +249,8 @@
 		return n.instancesRead(m, now)
 	case InstancesListed:
 		return n.instancesListed(m, now)
+	case ZonesEvacuated:
+		return n.zonesEvacuated(m, now)
 	case DocumentRead:
 		return n.documentRead(m, now)
 	case DocumentsComplete:
--- a/node/schedule_test.go
+++ b/node/schedule_test.go
@@ -34,7 +34,7 @@
 )
 
 // TestSchedules runs seeded schedules of freezes, kills, partitions, outages,
-// stale reads, drains and conflicting documents of operators, and checks the
+// stale reads, drains, evacuations and conflicting documents of operators, and checks the
 // guarantees. A seed repeats its schedule exactly:
 //
 //	go test ./node -run TestSchedules -args -seed 17 -schedules 1
@@ -209,6 +209,8 @@
 		sim.toggleStale()
 	case 9:
 		sim.drainUpstream(proc)
+	case 10, 11:
+		sim.publishZones()
 	}
 	if sim.rand.IntN(4) == 0 {
 		sim.newOrder()
@@ -239,6 +241,12 @@
 	}
 }
 
+// publishZones evacuates one zone, all of them or none.
+func (sim *simulation) publishZones() {
+	evacuated := []string{`[]`, `["a"]`, `["b"]`, `["a","b"]`}[sim.rand.IntN(4)]
+	sim.publish("zones", fmt.Sprintf(`{"kind":"zones","revision":%d,"evacuated":%s}`, sim.version+10, evacuated))
+}
+
 // toggleStale makes the platform show an old state from now on, or the current
 // one again.
 func (sim *simulation) toggleStale() {
--- a/node/simulation_test.go
+++ b/node/simulation_test.go
@@ -336,6 +336,9 @@
 	if !proc.leftAt.IsZero() && sim.now.Sub(proc.leftAt) > leaveLimit {
 		sim.violation("%s started %s %v after it began to leave", proc.id, r.ID, sim.now.Sub(proc.leftAt))
 	}
+	if proc.node.Evacuated() {
+		sim.violation("%s started %s although its zone is evacuated", proc.id, r.ID)
+	}
 	status := 200
 	if sim.rand.IntN(10) == 0 {
 		status = 500
--- a/node/status.go
+++ b/node/status.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"pomelodoor.example/pomelodoor/config"
@@ -17,6 +18,10 @@
 	// Live and Known count the instances in the daemon's membership view.
 	Live  int `json:"live"`
 	Known int `json:"known"`
+	// EvacuatedZones lists the evacuated availability zones; Evacuated is true if this one is
+	// among them, so that the upstream gets no new requests.
+	EvacuatedZones []string `json:"evacuatedZones"`
+	Evacuated      bool     `json:"evacuated"`
 	// Leaving is true once new work is refused.
 	Leaving  bool `json:"leaving"`
 	InFlight int  `json:"inFlight"`
@@ -62,6 +67,7 @@
 		Documents:     n.Documents(),
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
+		EvacuatedZones: slices.Clone(n.EvacuatedZones()), Evacuated: n.Evacuated(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
 	}
 	return s
