admit, config, platform: limit the requests to a cold upstream

An upstream that has just started crashes if requests arrive well above the rate that it accepts, and may become cold again at any time. The gate counts calls and probes in a sliding second while the upstream is cold or not known to be warm, and few calls are started on the ground of one probe. Nothing sets the limit yet.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -51,6 +51,8 @@
 	Paced bool
 	// Cold is true while the upstream is slow because it has just started.
 	Cold bool
+	// ColdLimit limits the calls while the upstream is cold or not known to be warm.
+	ColdLimit ColdLimit
 }
 
 // Config holds the settings of a Gate. New replaces zero values, except Shed, by
@@ -82,6 +84,9 @@
 	// Measure requests a reading of the upstream's pace, to be answered by Measured
 	// or Unmeasured. It belongs to no call.
 	Measure Kind = "measure"
+	// Probe requests a probe that shows whether the upstream is cold, to be answered by
+	// FoundWarm or FoundCold. It belongs to no call.
+	Probe Kind = "probe"
 )
 
 // Action is a step to carry out for one call.
@@ -112,6 +117,7 @@
 	serviceTime average
 	pace        pace
 	contention  contention
+	cold        coldLimiter
 	draining    bool
 	lastEvent   time.Time
 	resumedAt   time.Time
@@ -144,14 +150,20 @@
 	if reason, refused := g.refusal(req, now); refused {
 		return append(actions, refuse(req.ID, reason))
 	}
-	if g.limits.Paced && len(g.running) < g.capacity(now) {
+	switch {
+	case g.cold.inForce(now) && g.queue.len() > 0:
+		// The queued calls come first.
+		actions = append(actions, g.enqueue(req, now)...)
+		return append(actions, g.fill(now)...)
+	case g.limits.Paced && g.mayStart(now):
 		g.queue.push(req)
 		return append(actions, g.fill(now)...)
+	case g.mayStart(now):
+		actions = append(actions, g.start(req, now))
+	default:
+		actions = append(actions, g.enqueue(req, now)...)
 	}
-	if len(g.running) < g.capacity(now) {
-		return append(actions, g.start(req, now))
-	}
-	return append(actions, g.enqueue(req, now)...)
+	return append(actions, g.probeWarmth(now)...)
 }
 
 // Finish frees the slot of a call that has ended, whether or not it succeeded, and
@@ -198,11 +210,11 @@
 // Open ends a drain after the upstream has started to serve again.
 func (g *Gate) Open() { g.draining = false }
 
-// Tick refuses queued calls whose deadline has passed and, if Limits.Paced is set,
-// starts queued calls.
+// Tick refuses queued calls whose deadline has passed and, if Limits.Paced or
+// Limits.ColdLimit is set, starts queued calls.
 func (g *Gate) Tick(now time.Time) []Action {
 	actions := g.advance(now)
-	if g.limits.Paced {
+	if g.limits.Paced || g.cold.enabled() {
 		actions = append(actions, g.fill(now)...)
 	}
 	return actions
@@ -214,7 +226,8 @@
 	actions := g.advance(now)
 	g.limits = limits
 	g.limits.Slots, g.limits.Queue = max(limits.Slots, 0), max(limits.Queue, 0)
-	g.pace.cold = limits.Cold
+	g.cold.set(limits.ColdLimit, now)
+	g.pace.cold = limits.Cold || g.cold.warmth == cold
 	g.queue.reorder(limits.Shed)
 	actions = append(actions, g.fill(now)...)
 	for g.queue.len() > g.limits.Queue {
--- a/admit/decide.go
+++ b/admit/decide.go
@@ -102,8 +102,13 @@
 }
 
 // predictWait returns the expected wait behind the given number of queued calls.
-// With Limits.Paced it simulates the slots with the expected work of each call.
+// With Limits.Paced it simulates the slots with the expected work of each call. The
+// limit of a cold upstream may make it longer.
 func (g *Gate) predictWait(ahead int, now time.Time) time.Duration {
+	return max(g.predictSlotWait(ahead, now), g.cold.wait(ahead, now))
+}
+
+func (g *Gate) predictSlotWait(ahead int, now time.Time) time.Duration {
 	if !g.limits.Paced || g.limits.Slots == 0 {
 		return g.averageWait(ahead)
 	}
@@ -148,6 +153,7 @@
 		r.expectedEnd = now.Add(g.pace.expectedWork(req) + max(g.pace.extraTime(req), 0))
 	}
 	g.running[req.ID] = r
+	g.cold.started(now)
 	r.work, r.contended = req.ExpectedWork, len(g.running) > g.limits.UncontendedSlots
 	return Action{Kind: Start, CallID: req.ID}
 }
@@ -155,14 +161,14 @@
 // fill starts queued calls while slots are free. advance has already removed
 // expired calls.
 func (g *Gate) fill(now time.Time) []Action {
+	var actions []Action
 	if g.limits.Paced {
-		return g.fillPaced(now)
+		return append(g.fillPaced(now), g.probeWarmth(now)...)
 	}
-	var actions []Action
-	for !g.draining && len(g.running) < g.capacity(now) && g.queue.len() > 0 {
+	for !g.draining && g.mayStart(now) && g.queue.len() > 0 {
 		actions = append(actions, g.start(g.queue.popFirst().req, now))
 	}
-	return actions
+	return append(actions, g.probeWarmth(now)...)
 }
 
 func (g *Gate) refuseAll(reason call.Reason) []Action {
--- a/admit/load.go
+++ b/admit/load.go
@@ -47,7 +47,7 @@
 		Draining:    g.draining,
 		Resumed:     !g.resumedAt.IsZero() && now.Sub(g.resumedAt) < g.pauseLimit,
 	}
-	if load.InFlight >= load.Slots {
+	if load.InFlight >= load.Slots || g.waitsForCold(now) {
 		load.Wait = g.predictWait(load.Queued, now)
 	}
 	return load
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -160,7 +160,7 @@
 
 // fillPaced starts queued calls while slots are free and the pace permits.
 func (g *Gate) fillPaced(now time.Time) []Action {
-	if g.draining || g.queue.len() == 0 || len(g.running) >= g.capacity(now) {
+	if g.draining || g.queue.len() == 0 || !g.mayStart(now) {
 		return nil
 	}
 	switch {
@@ -171,7 +171,7 @@
 		return []Action{g.requestReading(now)}
 	}
 	var actions []Action
-	for i := 0; i < g.queue.len() && len(g.running) < g.capacity(now); {
+	for i := 0; i < g.queue.len() && g.mayStart(now); {
 		w := g.queue.calls[i]
 		switch g.decide(w, now) {
 		case keepWaiting:
--- a/config/routes.go
+++ b/config/routes.go
@@ -86,6 +86,7 @@
 type UpstreamSettings struct {
 	connections int
 	probePath   string
+	cold        ColdSettings
 }
 
 // Connections returns the maximum number of connections to one upstream.
@@ -94,6 +95,9 @@
 // ProbePath returns the URL path at which an upstream reports its load.
 func (s UpstreamSettings) ProbePath() string { return s.probePath }
 
+// Cold returns the settings for upstreams of the service that have just started.
+func (s UpstreamSettings) Cold() ColdSettings { return s.cold }
+
 // Routes is the content of a routes document.
 type Routes struct {
 	byHost           map[string][]*Route // longest prefix first
@@ -145,7 +149,7 @@
 	settings := map[string]UpstreamSettings{}
 	items, _ := root.list("services", unlimited)
 	for i, item := range items {
-		o := r.object(item, joinIndex("services", i), "service", "connections", "probePath")
+		o := r.object(item, joinIndex("services", i), "service", "connections", "probePath", "coldMs", "coldPerSecond")
 		name := o.text("service", checkRouteService)
 		if _, duplicate := settings[name]; duplicate {
 			r.fault(item.line, o.fieldPath("service"), "%q is listed twice", truncate(name))
@@ -153,6 +157,7 @@
 		settings[name] = UpstreamSettings{
 			connections: int(o.integer("connections", 1, MaxConnections, defaultSlots*connectionsPerSlot)),
 			probePath:   o.optionalText("probePath", checkPath, "/load"),
+			cold:        o.coldSettings(),
 		}
 	}
 	return settings
--- a/measure/reading.go
+++ b/measure/reading.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // State is the state that an upstream reports.
@@ -16,6 +17,19 @@
 	Cold     State = "cold"
 )
 
+// Warmth is what an upstream says about being cold, besides its State.
+type Warmth string
+
+// The values of Warmth.
+const (
+	// WarmthUnknown means that the response cannot be used.
+	WarmthUnknown Warmth = ""
+	// WarmthUnstated means that a valid response does not say it.
+	WarmthUnstated Warmth = "unstated"
+	Warm           Warmth = "warm"
+	NotWarm        Warmth = "notWarm"
+)
+
 // Reading is the response of an upstream's load endpoint. It may be outdated or
 // wrong: the daemon's own count of calls in flight is more accurate.
 type Reading struct {
@@ -30,6 +44,10 @@
 	// UpstreamIncarnation names the incarnation of the upstream that responded, if it
 	// reports one.
 	UpstreamIncarnation string `json:"upstream,omitempty"`
+	// Warmth is set only by the users' platform. If it is NotWarm, ColdLeft is how much
+	// longer the upstream is cold.
+	Warmth   Warmth        `json:"-"`
+	ColdLeft time.Duration `json:"-"`
 }
 
 // ErrReading is returned for an invalid response.
