node, daemon: the limit of a cold upstream is in force

Services with coldPerSecond get the limit at their gate, from the daemon's start and after each change of the upstream's incarnation, until a probe finds the upstream warm. Load reports say that the upstream is cold, with the slots that the rate keeps busy; /status and the metrics show the limit, and the log its begin and end. Without coldPerSecond nothing changes (TestNoColdLimit).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -147,7 +147,7 @@
 			Self: self, Incarnation: incarnation, Started: started, Rand: rand.Uint64, Choose: overrides.Choose,
 			FleetSize: settings.FleetSize,
 			Direct:    settings.direct(), AssumedActions: settings.assumedActions(), Retry: settings.bounds.retry(),
-			ProbesPerSecond: settings.bounds.ProbesPerSecond,
+			ProbesPerSecond: settings.bounds.ProbesPerSecond, ColdBound: settings.bounds.cold(),
 		}),
 		calls: newMailboxes(), runs: newMailboxes(), reserved: newReservations(), watch: ingress.NewDisconnectWatcher(),
 		upstream: exchange.New(exchange.Config{
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/call"
 )
 
@@ -39,6 +40,7 @@
 		l := d.load()
 		return map[string]any{"state": l.State, "running": l.InFlight, "queued": l.Queued, "slots": l.Slots, "pace": l.Pace}
 	}))
+	m.vars.Set("cold", expvar.Func(func() any { return d.coldStatus() }))
 	m.vars.Set("outcomes", m.outcomes)
 	m.vars.Set("reasons", m.reasons)
 	m.vars.Set("attempts", &m.attempts)
@@ -74,6 +76,13 @@
 	m.reasons.Add(string(reason), 1)
 }
 
+// coldStatus returns the state of the limit of a cold upstream; nil if there is none.
+func (d *Daemon) coldStatus() *admit.ColdStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.ColdStatus(time.Now())
+}
+
 // Vars returns the daemon's metrics for publication with expvar.
 func (d *Daemon) Vars() *expvar.Map { return d.metrics.vars }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -213,8 +213,12 @@
 
 // String returns the bounds in the format of the log.
 func (b platformBounds) String() string {
-	return fmt.Sprintf("stopWithin=%s applyWithin=%s retryShare=%g retryExtra=%g retryWindow=%s probesPerSecond=%g",
-		b.StopTimeout, b.ApplyTimeout, b.RetryShare, b.RetryExtra, b.RetryWindow, b.ProbesPerSecond)
+	return fmt.Sprintf("stopWithin=%s applyWithin=%s retryShare=%g retryExtra=%g retryWindow=%s probesPerSecond=%g coldExcess=%g coldSlack=%g",
+		b.StopTimeout, b.ApplyTimeout, b.RetryShare, b.RetryExtra, b.RetryWindow, b.ProbesPerSecond, b.ColdExcess, b.ColdSlack)
+}
+
+func (b platformBounds) cold() node.ColdBound {
+	return node.ColdBound{Excess: b.ColdExcess, Slack: b.ColdSlack}
 }
 
 func (b platformBounds) retry() node.SharedBudget {
--- a/node/admission.go
+++ b/node/admission.go
@@ -128,6 +128,10 @@
 			out = append(out, n.measurePace(now)...)
 			continue
 		}
+		if a.Kind == admit.Probe {
+			out = append(out, n.probeWarmth(now)...)
+			continue
+		}
 		run := n.runs[a.CallID]
 		if run == nil {
 			continue
@@ -163,6 +167,9 @@
 		return nil
 	}
 	delete(n.runs, m.ID)
+	if m.Crashed || m.Reason == call.UpstreamReplaced {
+		n.gate.ForgetWarmth(now)
+	}
 	out := n.resolveEnded(run, m, now)
 	out = append(out, n.quarantineEnd(run, m, now)...)
 	failed := m.Outcome != call.Run || isUpstreamFault(m.Status)
@@ -225,12 +232,18 @@
 		// Others may know of the upstream before this daemon does. They would not
 		// send anything to one that drains for some time.
 		load.State = balance.Cold
+		if n.hasColdLimit() {
+			// No slots distinguish it from a cold upstream that takes calls.
+			load.Slots = 0
+		}
 	case l.Draining || n.leaving():
 		load.State = balance.Draining
 	case n.upstreamCold:
 		load.State = balance.Cold
 	case n.meter.Failures() >= downAfterFailures:
 		load.State = balance.Down
+	default:
+		n.reportCold(&load, now)
 	}
 	return load
 }
--- a/node/direct.go
+++ b/node/direct.go
@@ -86,6 +86,7 @@
 // leaves.
 func (n *Node) followUpstream(before upstreamState, now time.Time) []Command {
 	after := n.upstreamState()
+	n.noteColdIncarnation(after.incarnation, now)
 	if after == before || n.closing {
 		return nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,8 @@
 	// ProbesPerSecond limits the probes of the local upstream while requests are
 	// started according to its pace; otherwise the document of its service does.
 	ProbesPerSecond float64
+	// ColdBound bounds what is sent to a cold upstream.
+	ColdBound ColdBound
 }
 
 // SharedBudget limits the requests that all daemons together may add to those
@@ -127,8 +129,9 @@
 	answersWithoutPace int
 	// contention is the value of Gate.Contention last logged.
 	contention float64
-	// gateAfterPending is true while a GateAfter is pending.
-	gateAfterPending bool
+	// gateDueAt is when the pending GateAfter ends; zero if none is pending.
+	gateDueAt time.Time
+	cold      coldState
 
 	upstreamCold bool
 	// upstreamListed is set once the store has listed the local upstream.
@@ -198,8 +201,8 @@
 
 // Update handles one message and returns the commands to carry out, in order.
 func (n *Node) Update(m Message, now time.Time) []Command {
-	out := n.detectPause(now)
-	return append(out, n.update(m, now)...)
+	out := append(n.detectPause(now), n.update(m, now)...)
+	return append(out, n.scheduleStart(now)...)
 }
 
 func (n *Node) update(m Message, now time.Time) []Command {
@@ -291,6 +294,7 @@
 	}
 	out = append(out, n.applyLimits(now)...)
 	out = append(out, n.logContention(now)...)
+	out = append(out, n.logCold(now)...)
 	if !n.direct() {
 		out = append(out, n.sendLoadToSiblings(now)...)
 	}
--- a/node/pace.go
+++ b/node/pace.go
@@ -50,8 +50,7 @@
 		// Earlier readings no longer describe the upstream.
 		return n.applyGateActions(n.gate.Measured(admit.NominalPace, now), now)
 	}
-	n.meter.SetBudget(probeBudgetShare*n.cfg.ProbesPerSecond, n.config.Allowed(config.Probe), now)
-	if n.meter.TryProbe(now) {
+	if n.tryProbe(now) {
 		return []Command{Probe{}}
 	}
 	if n.meter.Probing() {
@@ -74,16 +73,27 @@
 // scheduleRemeasure schedules another reading of a slow upstream.
 func (n *Node) scheduleRemeasure(now time.Time) []Command {
 	at, slow := n.gate.RemeasureAt(now)
-	if !slow || n.gateAfterPending {
+	if !slow {
 		return nil
 	}
-	n.gateAfterPending = true
+	return n.scheduleGate(at, now)
+}
+
+// scheduleGate requests a GateDue at a time, unless an earlier one is pending.
+func (n *Node) scheduleGate(at, now time.Time) []Command {
+	if n.gateDueAt.After(now) && !at.Before(n.gateDueAt) {
+		return nil
+	}
+	n.gateDueAt = at
 	return []Command{GateAfter{After: at.Sub(now)}}
 }
 
-// gateDue requests another reading of a slow upstream.
+// gateDue requests another reading of a slow upstream, and starts requests that the limit
+// of a cold one has held.
 func (n *Node) gateDue(now time.Time) []Command {
-	n.gateAfterPending = false
+	if !now.Before(n.gateDueAt) {
+		n.gateDueAt = time.Time{}
+	}
 	out := n.applyGateActions(n.gate.Remeasure(now), now)
 	return append(out, n.scheduleRemeasure(now)...)
 }
@@ -113,6 +123,7 @@
 	}
 	limits.Paced = n.paced()
 	limits.Cold = now.Before(n.view.Self().ColdUntil)
+	limits.ColdLimit = n.coldLimit()
 	return limits
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/config"
 )
 
@@ -21,6 +22,8 @@
 	Leaving  bool `json:"leaving"`
 	InFlight int  `json:"inFlight"`
 	Queued   int  `json:"queued"`
+	// Cold describes the limit of a cold upstream; nil without one.
+	Cold *admit.ColdStatus `json:"cold,omitempty"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
 }
@@ -63,6 +66,7 @@
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
+		Cold: n.ColdStatus(now),
 	}
 	return s
 }
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -18,7 +18,7 @@
 	if !ok {
 		return nil
 	}
-	if n.paced() {
+	if n.paced() || n.hasColdLimit() {
 		return n.endProbe(now)
 	}
 	rate := service.Budgets().ProbesPerSecond()
@@ -48,6 +48,9 @@
 // is more accurate than a report that lags.
 func (n *Node) probeEnded(m ProbeEnded, now time.Time) []Command {
 	n.meter.Done(m.Reading, m.Err, now)
+	if m.Err == nil {
+		n.observeWarmth(m.Reading, now)
+	}
 	switch {
 	case m.Err != nil && n.paced():
 		return append(n.applyGateActions(n.gate.Unmeasured(now), now), n.scheduleRemeasure(now)...)
@@ -56,6 +59,9 @@
 	case n.paced():
 		return n.applyReading(m.Reading, now)
 	}
+	if n.hasColdLimit() {
+		return n.applyGateActions(n.gate.Tick(now), now)
+	}
 	n.upstreamCold = m.Reading.State == measure.Cold
 	if m.Reading.State == measure.Draining {
 		n.servingSince = time.Time{}
