balance: use cold upstreams up to the rate that they accept

A cold upstream was considered for a tenth of the calls. With a cold limit it is compared by cost instead: its calls take longer, and those above the rate wait their turn, so warm upstreams come first until they are full. Once warm, its share grows within a second.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -62,6 +62,9 @@
 		cost = work * u.slowdown(now) * u.paceFactor(now)
 	}
 	cost += slotWait(calls, u.load.Slots, service)
+	if p.limited(u, now) {
+		cost = p.limitedCost(u, work, calls)
+	}
 	if oldest := u.oldest(); !oldest.IsZero() {
 		cost = max(cost, float64(now.Sub(oldest))/overdueFactor)
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -196,9 +196,12 @@
 // rampSkips draws at random whether a new or cold upstream is passed over for
 // this call.
 func (p *Picker) rampSkips(u *upstream, now time.Time) bool {
-	share := 1.0
+	if p.limited(u, now) {
+		return false
+	}
+	share := u.warmShare(now)
 	if !u.rampStart.IsZero() {
-		share = max(minRampShare, float64(now.Sub(u.rampStart))/float64(p.config.Ramp))
+		share = min(share, max(minRampShare, float64(now.Sub(u.rampStart))/float64(p.config.Ramp)))
 	}
 	if u.load.State == Cold {
 		share = minRampShare
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -85,6 +85,7 @@
 	typicalServiceTime float64   // typical time in a slot, nanoseconds
 	firstPick          time.Time // time of the first Pick
 	lastIndex          int       // index of the last round-robin choice
+	cold               ColdLimit
 }
 
 // New returns a Picker without any state.
@@ -145,6 +146,7 @@
 // twice and out of order.
 func (p *Picker) ObserveLoad(id string, load Load, now time.Time) {
 	u := p.upstream(id)
+	p.noteWarmed(u, load, now)
 	u.applyReport(load, now.Add(-load.Age))
 	p.learnServiceTime(load.ServiceTime)
 }
--- a/balance/upstream.go
+++ b/balance/upstream.go
@@ -38,6 +38,7 @@
 	incarnation uint64
 	seen        bool      // as a candidate
 	rampStart   time.Time // start of its growing share; zero if it does not grow
+	warmSince   time.Time // when it ceased to be cold; zero if it was not
 	observed    Estimate  // of the calls sent by this daemon
 	// excessSlowdown is the average slowdown of calls compared with other
 	// upstreams, as a factor less 1, and linkDelay the excess link delay in
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -55,6 +55,8 @@
 		})
 		n.pickers[service.Name()] = p
 	}
+	cold := n.coldSettings(service.Name())
+	p.SetColdLimit(balance.ColdLimit{PerSecond: cold.PerSecond(), Duration: cold.Duration()})
 	return p
 }
 
