--- a/admit/pace.go
+++ b/admit/pace.go
@@ -140,10 +140,10 @@
 }
 
 // Remeasure requests a reading if the upstream is slow and the last reading is no
-// longer fresh.
+// longer fresh. An upstream in an evacuated zone is sent nothing.
 func (g *Gate) Remeasure(now time.Time) []Action {
 	actions := g.advance(now)
-	if g.pace.slowSince.IsZero() || now.Sub(g.pace.readAt) < readingFreshFor || g.measuring(now) {
+	if g.pace.slowSince.IsZero() || g.evacuated || now.Sub(g.pace.readAt) < readingFreshFor || g.measuring(now) {
 		return append(actions, g.fill(now)...)
 	}
 	return append(actions, g.requestReading(now))
@@ -160,7 +160,7 @@
 
 // fillPaced starts queued calls while slots are free and the pace permits.
 func (g *Gate) fillPaced(now time.Time) []Action {
-	if g.draining || g.queue.len() == 0 || len(g.running) >= g.capacity(now) {
+	if g.draining || g.queue.len() == 0 || !g.mayStart(now) {
 		return nil
 	}
 	switch {
@@ -171,7 +171,7 @@
 		return []Action{g.requestReading(now)}
 	}
 	var actions []Action
-	for i := 0; i < g.queue.len() && len(g.running) < g.capacity(now); {
+	for i := 0; i < g.queue.len() && g.mayStart(now); {
 		w := g.queue.calls[i]
 		switch g.decide(w, now) {
 		case keepWaiting:
--- a/node/status.go
+++ b/node/status.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/config"
 )
 
@@ -26,6 +27,8 @@
 	Leaving  bool `json:"leaving"`
 	InFlight int  `json:"inFlight"`
 	Queued   int  `json:"queued"`
+	// Cold describes the limit of a cold upstream; nil without one.
+	Cold *admit.ColdStatus `json:"cold,omitempty"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
 }
@@ -69,6 +72,7 @@
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
 		EvacuatedZones: slices.Clone(n.EvacuatedZones()), Evacuated: n.Evacuated(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
+		Cold: n.ColdStatus(now),
 	}
 	return s
 }
