admit: what is refused in a shortage is what costs callers least

Cause: a full upstream refused by rank and target alone. The work of a call did not count, calls that runs make were refused like new ones, which wasted the work of the runs, a call that could no longer be in time was refused only when a slot was free, and a low rank got nothing. Change: the queue of a gate that knows the work of its calls is planned by class (Moore and Hodgson). Nested calls go first, then calls of routes below the floor, then the ranks. What cannot be in time is refused when that is known. A full queue refuses the call with the most work of the last class.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -3,7 +3,7 @@
 //
 // A Gate never starts more calls than the upstream has slots. Further calls wait
 // in a bounded queue, ordered by priority, then by target, then by deadline. A
-// call whose turn would come after its deadline is refused on arrival, so that
+// call whose turn would come too late is refused as soon as that is known, so that
 // the sender still has time to try another upstream. A refusal guarantees that
 // the call was not run.
 //
@@ -112,6 +112,9 @@
 	serviceTime average
 	pace        pace
 	contention  contention
+	planner     planner
+	floor       floor
+	raised      uint64
 	draining    bool
 	lastEvent   time.Time
 	resumedAt   time.Time
@@ -132,7 +135,7 @@
 		limits:     Limits{Slots: cfg.Slots, Queue: cfg.Queue, Shed: cfg.Shed},
 		pauseLimit: cfg.PauseLimit,
 		running:    make(map[string]*runningCall),
-		queue:      queue{byUrgency: cfg.Shed},
+		queue:      queue{byUrgency: cfg.Shed, discipline: defaultDiscipline()},
 	}
 }
 
@@ -144,6 +147,7 @@
 	if reason, refused := g.refusal(req, now); refused {
 		return append(actions, refuse(req.ID, reason))
 	}
+	g.floor.add(req.Route, 1, 0, now)
 	if g.limits.Paced && len(g.running) < g.capacity(now) {
 		g.queue.push(req)
 		return append(actions, g.fill(now)...)
--- a/admit/decide.go
+++ b/admit/decide.go
@@ -49,6 +49,9 @@
 // enqueue queues a call, or refuses it. To make space it may refuse a less urgent
 // call.
 func (g *Gate) enqueue(req call.Request, now time.Time) []Action {
+	if g.sheds() {
+		return g.enqueuePlanned(req, now)
+	}
 	if g.limits.Shed && g.wouldBeLate(req, now) {
 		return []Action{refuse(req.ID, call.Overloaded)}
 	}
@@ -143,6 +146,7 @@
 }
 
 func (g *Gate) start(req call.Request, now time.Time) Action {
+	g.floor.add(req.Route, 0, 1, now)
 	r := &runningCall{}
 	if g.limits.Paced && req.ExpectedWork > 0 {
 		r.expectedEnd = now.Add(g.pace.expectedWork(req) + max(g.pace.extraTime(req), 0))
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -158,8 +158,13 @@
 	return Action{Kind: Measure}
 }
 
-// fillPaced starts queued calls while slots are free and the pace permits.
+// fillPaced refuses queued calls that give way, and starts others while slots are free
+// and the pace permits.
 func (g *Gate) fillPaced(now time.Time) []Action {
+	return append(g.giveWay(now), g.startPaced(now)...)
+}
+
+func (g *Gate) startPaced(now time.Time) []Action {
 	if g.draining || g.queue.len() == 0 || len(g.running) >= g.capacity(now) {
 		return nil
 	}
@@ -178,7 +183,7 @@
 			i++
 			continue
 		case turnAway:
-			actions = append(actions, refuse(w.req.ID, g.turnAwayReason(w, now)))
+			actions = append(actions, refuse(w.req.ID, call.Slow))
 		case startNow:
 			actions = append(actions, g.start(w.req, now))
 		}
@@ -199,9 +204,6 @@
 // decide compares starting a call at the present pace with turning it away, to be
 // run elsewhere, and with waiting until the slow period ends.
 func (g *Gate) decide(w queuedCall, now time.Time) decision {
-	if g.limits.Shed && g.passedOver(w, now) {
-		return turnAway
-	}
 	if !g.pace.currentlySlow(now) {
 		return startNow
 	}
@@ -215,24 +217,3 @@
 	}
 	return keepWaiting
 }
-
-// passedOver reports whether a call has waited too long to meet its target while
-// another queued call can still meet its own.
-func (g *Gate) passedOver(w queuedCall, now time.Time) bool {
-	if w.req.Target.IsZero() || !now.Add(g.pace.expectedWork(w.req)).After(w.req.Target) {
-		return false
-	}
-	for _, other := range g.queue.calls {
-		if other.req.Target.After(now.Add(g.pace.expectedWork(other.req))) {
-			return true
-		}
-	}
-	return false
-}
-
-func (g *Gate) turnAwayReason(w queuedCall, now time.Time) call.Reason {
-	if g.limits.Shed && g.passedOver(w, now) {
-		return call.Overloaded
-	}
-	return call.Slow
-}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,6 +11,8 @@
 type queuedCall struct {
 	req      call.Request
 	sequence uint64
+	// raised is set for a call that goes first because its route is below its floor.
+	raised bool
 }
 
 // queue is a list of waiting calls in the order in which they are served. Its length
@@ -18,23 +21,18 @@
 	calls        []queuedCall
 	nextSequence uint64
 	byUrgency    bool
+	discipline
 }
 
 func expired(req call.Request, now time.Time) bool {
 	return !req.Deadline.IsZero() && !now.Before(req.Deadline)
 }
 
-// compare orders calls by urgency: by priority, target, deadline and arrival. With
-// byUrgency unset it orders them by arrival only.
+// compare orders calls by urgency: by class, then by target and deadline, then by
+// arrival. With byUrgency unset it orders them by arrival only.
 func (q *queue) compare(a, b queuedCall) int {
 	if q.byUrgency {
-		if d := a.req.Priority.Rank() - b.req.Priority.Rank(); d != 0 {
-			return d
-		}
-		if d := compareDeadlines(a.req.Target, b.req.Target); d != 0 {
-			return d
-		}
-		if d := compareDeadlines(a.req.Deadline, b.req.Deadline); d != 0 {
+		if d := cmp.Or(q.class(a)-q.class(b), q.within(a.req, b.req)); d != 0 {
 			return d
 		}
 	}
@@ -73,6 +71,23 @@
 	q.nextSequence++
 }
 
+// classEnd returns the index after the last call of the same class as that at index from.
+func (q *queue) classEnd(from int) int {
+	class := q.class(q.calls[from])
+	for i, w := range q.calls[from:] {
+		if q.class(w) != class {
+			return from + i
+		}
+	}
+	return len(q.calls)
+}
+
+// raise moves a call to the class of raised calls.
+func (q *queue) raise(callID string) {
+	q.calls[q.index(callID)].raised = true
+	slices.SortFunc(q.calls, q.compare)
+}
+
 func (q *queue) popFirst() queuedCall {
 	first := q.calls[0]
 	q.calls = slices.Delete(q.calls, 0, 1)
--- /dev/null
+++ b/admit/shed.go
@@ -0,0 +1,222 @@
+package admit
+
+import (
+	"cmp"
+	"time"
+
+	"pomelodoor.example/pomelodoor/call"
+)
+
+// discipline decides which calls are served first and which give way. Tests compare
+// others.
+type discipline struct {
+	// class is compared first: a call of a later class never delays one of an earlier
+	// class, nor makes it give way.
+	class func(w queuedCall) int
+	// within orders the calls of one class.
+	within func(a, b call.Request) int
+	// yield decides which call of a class gives way: the one with the greatest does.
+	yield func(req call.Request, work time.Duration) float64
+	// floorShare is the part of the share of all calls that each route is served at least.
+	floorShare float64
+}
+
+// The classes ahead of the ranks of priorities.
+const (
+	// nestedClass is that of calls that a running request makes. Refusing them wastes the
+	// work of that request.
+	nestedClass = -2
+	// raisedClass is that of calls whose route is below its floor.
+	raisedClass = -1
+)
+
+func defaultDiscipline() discipline {
+	return discipline{class: classOf, within: compareTargets, yield: yieldOf, floorShare: floorShare}
+}
+
+func classOf(w queuedCall) int {
+	switch {
+	case w.req.Nested:
+		return nestedClass
+	case w.raised:
+		return raisedClass
+	}
+	return w.req.Priority.Rank()
+}
+
+// compareTargets orders calls by target and deadline.
+func compareTargets(a, b call.Request) int {
+	return cmp.Or(compareDeadlines(a.Target, b.Target), compareDeadlines(a.Deadline, b.Deadline))
+}
+
+// yieldOf makes the call with the most work give way, which leaves the most others in
+// time.
+func yieldOf(_ call.Request, work time.Duration) float64 { return float64(work) }
+
+// sheds reports whether calls give way according to a plan, which needs the expected work
+// of each.
+func (g *Gate) sheds() bool { return g.limits.Shed && g.limits.Paced && g.limits.Slots > 0 }
+
+// giveWay refuses the queued calls that cannot be in time as soon as that is known, under
+// a load beyond the capacity of the upstream. A call of a route below its floor is served
+// first instead.
+func (g *Gate) giveWay(now time.Time) []Action {
+	if !g.sheds() || g.draining || g.queue.len() <= g.capacity(now)-len(g.running) {
+		return nil
+	}
+	late := g.lateCalls(now)
+	for g.raiseOne(late, now) {
+		late = g.lateCalls(now)
+	}
+	var actions []Action
+	for _, l := range late {
+		g.queue.remove(l.req.ID)
+		actions = append(actions, refuse(l.req.ID, call.Overloaded))
+	}
+	return actions
+}
+
+// lateCall is a queued call that is to be refused.
+type lateCall struct {
+	queuedCall
+	// meetsDeadline is true if the call could end by its deadline if it went first.
+	meetsDeadline bool
+}
+
+// lateCalls returns the queued calls to be refused. Of each class, a call that is late is
+// kept if its deadline can be met and no call of that class or an earlier one is ahead.
+func (g *Gate) lateCalls(now time.Time) []lateCall {
+	free, jobs := g.planInput(now)
+	first := free[0]
+	var late []lateCall
+	ahead := false
+	for from, to := 0, 0; from < len(jobs); from = to {
+		to = g.queue.classEnd(from)
+		g.planner.plan(jobs[from:to], free)
+		for i := from; i < to; i++ {
+			ahead = ahead || !jobs[i].late
+		}
+		for i := from; i < to; i++ {
+			w := g.queue.calls[i]
+			if !jobs[i].late {
+				continue
+			}
+			if (!ahead || w.raised) && meetsDeadline(w.req, now.Add(free[0]), jobs[i].work) {
+				free.take(jobs[i].work)
+				ahead = true
+				continue
+			}
+			late = append(late, lateCall{w, meetsDeadline(w.req, now.Add(first), jobs[i].work)})
+		}
+	}
+	return late
+}
+
+// planInput returns when the slots are expected to be free, and the queued calls.
+func (g *Gate) planInput(now time.Time) (slotTimes, []job) {
+	p := &g.planner
+	p.free, p.jobs = p.free[:0], p.jobs[:0]
+	for _, at := range g.slotFreeTimes(now) {
+		p.free = append(p.free, at.Sub(now))
+	}
+	p.free.init()
+	for _, w := range g.queue.calls {
+		work := cmp.Or(g.pace.expectedWork(w.req), g.serviceTime.mean)
+		j := job{work: work, latest: noLimit, yield: g.queue.yield(w.req, work)}
+		if latest := latestEnd(w.req); !latest.IsZero() {
+			j.latest = latest.Sub(now)
+		}
+		p.jobs = append(p.jobs, j)
+	}
+	return p.free, p.jobs
+}
+
+// latestEnd returns when a call must end to be in time, or zero. A nested call is in time
+// until its deadline, since it is worth the work of the request that makes it.
+func latestEnd(req call.Request) time.Time {
+	if req.Nested || compareDeadlines(req.Deadline, req.Target) < 0 {
+		return req.Deadline
+	}
+	return req.Target
+}
+
+// meetsDeadline reports whether a call that starts at the given time may end by its
+// deadline, if it takes no less than most calls of its route.
+func meetsDeadline(req call.Request, start time.Time, work time.Duration) bool {
+	return req.Deadline.IsZero() || !start.Add(max(work-req.WorkSpread, 0)).After(req.Deadline)
+}
+
+// raiseOne raises the first of the late calls whose route is below its floor, and reports
+// whether there is one.
+func (g *Gate) raiseOne(late []lateCall, now time.Time) bool {
+	for _, l := range late {
+		if l.meetsDeadline && g.mayRaise(l.queuedCall, now) {
+			g.queue.raise(l.req.ID)
+			g.raised++
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) mayRaise(w queuedCall, now time.Time) bool {
+	if w.raised || w.req.Nested {
+		return false
+	}
+	pending := 0
+	for _, other := range g.queue.calls {
+		if other.raised && other.req.Route == w.req.Route {
+			pending++
+		}
+	}
+	return g.floor.below(w.req.Route, g.queue.floorShare, pending, now)
+}
+
+// enqueuePlanned queues a call and refuses those that give way, which may be the call
+// itself.
+func (g *Gate) enqueuePlanned(req call.Request, now time.Time) []Action {
+	g.queue.push(req)
+	actions := g.giveWay(now)
+	if g.queue.has(req.ID) && g.queue.len() > g.limits.Queue {
+		actions = append(actions, g.evict(req, now))
+	}
+	if g.queue.has(req.ID) {
+		actions = append(actions, Action{Kind: Queue, CallID: req.ID})
+	}
+	return actions
+}
+
+// evict refuses a call because the queue is full after req has been added: one of the
+// last class, the one that yields most. req does not displace a call that yields no more
+// than it does, or callers would displace each other endlessly.
+func (g *Gate) evict(req call.Request, now time.Time) Action {
+	victim := g.evicted(req)
+	if g.mayRaise(victim, now) {
+		g.queue.raise(victim.req.ID)
+		g.raised++
+		victim = g.evicted(req)
+	}
+	g.queue.remove(victim.req.ID)
+	return refuse(victim.req.ID, call.Overloaded)
+}
+
+func (g *Gate) evicted(req call.Request) queuedCall {
+	victim := g.queue.last()
+	class := g.queue.class(victim)
+	if own := g.queue.calls[g.queue.index(req.ID)]; g.queue.class(own) == class {
+		victim = own
+	}
+	for _, w := range g.queue.calls {
+		if g.queue.class(w) == class && g.yield(w) > g.yield(victim) {
+			victim = w
+		}
+	}
+	return victim
+}
+
+func (g *Gate) yield(w queuedCall) float64 {
+	return g.queue.yield(w.req, g.pace.expectedWork(w.req))
+}
+
+// Raised returns how many calls were served first because their route was below its floor.
+func (g *Gate) Raised() uint64 { return g.raised }
--- a/call/request.go
+++ b/call/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -70,6 +71,10 @@
 	// pace; 0 if unknown. The pace of an upstream is its current processing time in
 	// percent of nominal.
 	ExpectedWork time.Duration
+	// WorkSpread is the mean deviation of the work from ExpectedWork.
+	WorkSpread time.Duration
+	// Nested is true for a call that an upstream makes while it runs another request.
+	Nested bool
 	// WaitWhenSlow is true if a slow period of the upstream must not cause the
 	// request to be refused, since no other upstream would be better.
 	WaitWhenSlow bool
@@ -103,6 +108,12 @@
 	Replayable bool
 }
 
+// MadeBy reports whether the request is a call that the run of parent makes. The token of
+// such a call is that of parent, a dot and more text.
+func (r Request) MadeBy(parent Request) bool {
+	return parent.Token != "" && strings.HasPrefix(r.Token, parent.Token+".")
+}
+
 // Keyed reports whether the request needs the permission of its key's home to run.
 func (r Request) Keyed() bool {
 	return r.Key != "" && !r.Idempotent()
