node: Retry-After names when capacity is expected; shortages are visible

Cause: every refusal asked for a return after 100 ms, for all callers alike and however long the queues were. Operators could not see which ranks were refused. Change: after a refusal for lack of capacity the delay is the time until the refusing daemon's queue has been served, spread by rank and at random, within a third of the time left. Nested calls are recognized by the token of the running request and marked for other daemons. The spread of a route's work is learned. Status, counters and two log lines show refusals by reason and rank.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -41,6 +41,7 @@
 		l := d.load()
 		return map[string]any{"state": l.State, "running": l.InFlight, "queued": l.Queued, "slots": l.Slots, "pace": l.Pace}
 	}))
+	m.vars.Set("shedding", expvar.Func(func() any { return d.shedding() }))
 	m.vars.Set("outcomes", m.outcomes)
 	m.vars.Set("reasons", m.reasons)
 	m.vars.Set("attempts", &m.attempts)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -119,6 +119,13 @@
 	return d.node.Load(time.Now())
 }
 
+// shedding returns what the gate of the local upstream has refused.
+func (d *Daemon) shedding() node.Shedding {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Shedding(time.Now())
+}
+
 // withLoad adds the load of the local upstream to an answer.
 func (d *Daemon) withLoad(a *answer) *answer {
 	a.result.Load, a.result.HasLoad = d.load(), true
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -28,6 +28,7 @@
 	fieldWaitWhenSlow    = "w"
 	fieldKeyGranted      = "k"
 	fieldRevision        = "v"
+	fieldNested          = "c"
 )
 
 // ParseForwarded reads a request that another daemon has forwarded. dialect is that of
@@ -65,6 +66,7 @@
 	r.Route = fields.Get(fieldRoute)
 	r.WaitWhenSlow = fields.Has(fieldWaitWhenSlow)
 	r.KeyGranted = fields.Has(fieldKeyGranted)
+	r.Nested = fields.Has(fieldNested)
 	if fields.Has(fieldLatencyTargetMs) {
 		ms, err := strconv.ParseInt(fields.Get(fieldLatencyTargetMs), 10, 64)
 		if err != nil {
@@ -122,6 +124,7 @@
 	}
 	w.flag(fieldWaitWhenSlow, r.WaitWhenSlow)
 	w.flag(fieldKeyGranted, r.KeyGranted)
+	w.flag(fieldNested, r.Nested)
 	w.number(fieldRevision, f.Revision)
 	ReplaceHeader(h, call.HeaderForward, string(w.query))
 	WriteCallHeaders(h, r, now)
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -30,7 +30,7 @@
 			Repeat:   rapid.SampledFrom([]call.Repeat{call.ByMethod, call.Safe, call.Unsafe}).Draw(t, "repeat"),
 			Hops:     rapid.IntRange(0, 3).Draw(t, "hops"), Attempt: rapid.IntRange(0, 3).Draw(t, "attempt"),
 			Fingerprint: rapid.Uint64().Draw(t, "fingerprint"), WaitWhenSlow: rapid.Bool().Draw(t, "waitWhenSlow"),
-			KeyGranted: rapid.Bool().Draw(t, "granted"), Deadline: now.Add(700 * time.Millisecond),
+			KeyGranted: rapid.Bool().Draw(t, "granted"), Nested: rapid.Bool().Draw(t, "nested"), Deadline: now.Add(700 * time.Millisecond),
 		}
 		if rapid.Bool().Draw(t, "goal") {
 			sent.Request.Target = now.Add(time.Duration(rapid.IntRange(-500, 500).Draw(t, "ms")) * time.Millisecond)
--- a/node/admission.go
+++ b/node/admission.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"time"
 
 	"pomelodoor.example/pomelodoor/admit"
@@ -44,6 +45,7 @@
 	n.runs[id] = run
 	n.noteSender(m.From, now)
 	run.request.ExpectedWork = n.expectedWork(run.request, now)
+	run.request.WorkSpread = n.workSpread(run.request)
 	if run.request.Keyed() && !run.request.KeyGranted {
 		return n.applyKeyActions(n.coordinator.Begin(m.Request, now), now)
 	}
@@ -65,6 +67,7 @@
 // refuseOrHandOn ends a request that the gate will not start, unless it can be
 // handed on to a sibling.
 func (n *Node) refuseOrHandOn(run *runState, reason call.Reason, now time.Time) Command {
+	n.shortage.count(reason, run.request.Priority, now)
 	if n.mayHandOn(reason) {
 		if c, ok := n.handOn(run, now); ok {
 			return c
@@ -251,3 +254,18 @@
 func (n *Node) leaving() bool {
 	return n.closing || n.gate.Draining()
 }
+
+// madeByRun reports whether the request is a call that the local upstream makes while it
+// runs another request. Its token may only name a request that runs here, so that callers
+// cannot claim it for others.
+func (n *Node) madeByRun(r call.Request) bool {
+	if !strings.Contains(r.Token, ".") {
+		return false
+	}
+	for _, run := range n.runs {
+		if !run.started.IsZero() && run.handedTo == "" && r.MadeBy(run.request) {
+			return true
+		}
+	}
+	return false
+}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -41,6 +41,9 @@
 	// unknown is set once an attempt may have run without an answer.
 	unknown      bool
 	bodyConsumed bool
+	// capacityAt is when a daemon that refused the request expects to have capacity, or
+	// zero, and refusedAt when the last of them refused it.
+	capacityAt, refusedAt time.Time
 }
 
 // attempt is one Forward in progress.
@@ -73,6 +76,7 @@
 	if n.outlastsStop(c.request, now) {
 		return []Command{n.refusal(c, notRunOutcome(c.request), call.Leaving)}
 	}
+	c.request.Nested = n.madeByRun(c.request)
 	n.calls[c.request.ID] = c
 	n.policy(service, now).CountFirst(c.priorAttempts)
 	target, reason, ok := n.choose(c, now)
@@ -92,15 +96,11 @@
 	return []Command{n.refusal(c, notRunOutcome(c.request), reason)}
 }
 
-// retryAfter is the delay after which a caller may try again: longer
-// than a momentary load peak, and short enough to be served in time.
-const retryAfter = 100 * time.Millisecond
-
 // refusal returns the answer for a call that has no upstream's answer.
 func (n *Node) refusal(c *callState, outcome call.Outcome, reason call.Reason) Command {
 	a := Answer{ID: c.request.ID, Outcome: outcome, Reason: reason}
 	if outcome == call.NotRun {
-		a.RetryAfter = retryAfter
+		a.RetryAfter = n.retryAfter(c)
 	}
 	return a
 }
@@ -169,6 +169,7 @@
 	}
 	n.recordAttempt(c, a, m.Result, now)
 	c.countAttempt(m.Result)
+	c.noteShortage(m.Result, now)
 	c.bodyConsumed = c.bodyConsumed || m.Result.BodyConsumed
 	if m.Result.Outcome == call.NotRun && !m.Result.Answered {
 		m.Result.Outcome = notRunOutcome(c.request)
@@ -274,7 +275,7 @@
 		n.links.observe(a.zone, trip)
 		picker.ObserveLinkDelay(a.target, max(trip-n.links.minTrip(a.zone), 0), now)
 	}
-	if work := n.routeWork[c.request.Route]; r.Work > 0 && c.route != nil {
+	if work := n.routeWork[c.request.Route].mean; r.Work > 0 && c.route != nil {
 		if work > 0 {
 			picker.ObserveSlowdown(a.target, float64(r.Work)/float64(work), now)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -85,6 +85,7 @@
 	gate          *admit.Gate
 	localEstimate balance.Estimate
 	meter         *measure.Meter
+	shortage      shortage
 
 	// suspects holds the evidence from crashes of upstreams, suspectsSentAt
 	// when it was last sent to a sibling.
@@ -109,7 +110,7 @@
 	senders map[string]time.Time
 	// routeWork is the expected processing time of each route's requests at
 	// nominal pace, and routeTimes the longest time from request to answer.
-	routeWork  map[string]time.Duration
+	routeWork  map[string]work
 	routeTimes map[string]*longestTime
 	// sentPace, sentCalls and zoneSentAt are the content and time of the last
 	// load report to the availability zone.
@@ -164,7 +165,7 @@
 		meter:     measure.New(measure.Config{Rand: cfg.Rand}),
 		homes:     map[string]*homeSet{},
 		senders:   map[string]time.Time{},
-		routeWork: map[string]time.Duration{}, routeTimes: map[string]*longestTime{},
+		routeWork: map[string]work{}, routeTimes: map[string]*longestTime{},
 		suspects: quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
 		coordinator: once.New(once.Config{
 			Self:    once.Incarnation{ID: cfg.Self.ID, Number: cfg.Incarnation},
@@ -291,6 +292,7 @@
 	}
 	out = append(out, n.applyLimits(now)...)
 	out = append(out, n.logContention(now)...)
+	out = append(out, n.logShortage(now)...)
 	if !n.direct() {
 		out = append(out, n.sendLoadToSiblings(now)...)
 	}
--- a/node/status.go
+++ b/node/status.go
@@ -21,6 +21,8 @@
 	Leaving  bool `json:"leaving"`
 	InFlight int  `json:"inFlight"`
 	Queued   int  `json:"queued"`
+	// Shedding is what the gate of the local upstream has refused.
+	Shedding Shedding `json:"shedding"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
 }
@@ -62,7 +64,7 @@
 		Documents:     n.Documents(),
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
-		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
+		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued, Shedding: n.Shedding(now),
 	}
 	return s
 }
--- a/node/work.go
+++ b/node/work.go
@@ -8,9 +8,15 @@
 )
 
 // workSmoothing is the inverse of the weight of one run in a route's average
-// work.
+// work and in its mean deviation.
 const workSmoothing = 16
 
+// work is the processing time of a route's requests at nominal pace.
+type work struct {
+	mean      time.Duration
+	deviation time.Duration
+}
+
 // learnWork updates the work of the run's route and returns the duration of the
 // run, converted to nominal pace if the pace is known.
 func (n *Node) learnWork(run *runState, took time.Duration) time.Duration {
@@ -23,16 +29,18 @@
 }
 
 // observeWork adds one run, in time at nominal pace, to its route's average
-// work.
+// work and its mean deviation.
 func (n *Node) observeWork(route string, nominal time.Duration) {
-	work, known := n.routeWork[route]
+	w, known := n.routeWork[route]
 	switch {
 	case !known && len(n.routeWork) >= maxRoutesLearned:
 		return
 	case !known:
-		work = nominal
+		w.mean = nominal
 	}
-	n.routeWork[route] = work + (nominal-work)/workSmoothing
+	w.deviation += ((nominal - w.mean).Abs() - w.deviation) / workSmoothing
+	w.mean += (nominal - w.mean) / workSmoothing
+	n.routeWork[route] = w
 }
 
 // defaultWorkDivisor is what the time to a request's target is divided by to get
@@ -42,8 +50,8 @@
 // expectedWork returns the expected duration of a request at nominal pace, 0 if
 // not known.
 func (n *Node) expectedWork(r call.Request, now time.Time) time.Duration {
-	if work, known := n.routeWork[r.Route]; known {
-		return work
+	if w, known := n.routeWork[r.Route]; known {
+		return w.mean
 	}
 	if r.Target.IsZero() {
 		return 0
@@ -51,5 +59,14 @@
 	return max(r.Target.Sub(now)/defaultWorkDivisor, 0)
 }
 
+// workSpread returns the mean deviation of a request's work from what is expected. While
+// no run was observed, the work may be anything.
+func (n *Node) workSpread(r call.Request) time.Duration {
+	if w, known := n.routeWork[r.Route]; known {
+		return w.deviation
+	}
+	return r.ExpectedWork
+}
+
 // maxRoutesLearned limits the routes whose work is remembered.
 const maxRoutesLearned = 1024
