--- a/admit/admit.go
+++ b/admit/admit.go
@@ -3,7 +3,7 @@
 //
 // A Gate never starts more calls than the upstream has slots. Further calls wait
 // in a bounded queue, ordered by priority, then by target, then by deadline. A
-// call whose turn would come after its deadline is refused on arrival, so that
+// call whose turn would come too late is refused as soon as that is known, so that
 // the sender still has time to try another upstream. A refusal guarantees that
 // the call was not run.
 //
@@ -118,6 +118,9 @@
 	pace        pace
 	contention  contention
 	cold        coldLimiter
+	planner     planner
+	floor       floor
+	raised      uint64
 	draining    bool
 	evacuated   bool
 	lastEvent   time.Time
@@ -139,7 +142,7 @@
 		limits:     Limits{Slots: cfg.Slots, Queue: cfg.Queue, Shed: cfg.Shed},
 		pauseLimit: cfg.PauseLimit,
 		running:    make(map[string]*runningCall),
-		queue:      queue{byUrgency: cfg.Shed},
+		queue:      queue{byUrgency: cfg.Shed, discipline: defaultDiscipline()},
 	}
 }
 
@@ -151,6 +154,7 @@
 	if reason, refused := g.refusal(req, now); refused {
 		return append(actions, refuse(req.ID, reason))
 	}
+	g.floor.add(req.Route, 1, 0, now)
 	switch {
 	case g.cold.inForce(now) && g.queue.len() > 0:
 		// The queued calls come first.
--- a/call/request.go
+++ b/call/request.go
@@ -70,6 +70,13 @@
 	// pace; 0 if unknown. The pace of an upstream is its current processing time in
 	// percent of nominal.
 	ExpectedWork time.Duration
+	// WorkSpread is the mean deviation of the work from ExpectedWork.
+	WorkSpread time.Duration
+	// ParentToken is the token of the request whose run makes this call, as far as the
+	// token of the call tells; "" if it tells none.
+	ParentToken string
+	// Nested is true for a call that an upstream makes while it runs another request.
+	Nested bool
 	// WaitWhenSlow is true if a slow period of the upstream must not cause the
 	// request to be refused, since no other upstream would be better.
 	WaitWhenSlow bool
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -45,6 +45,7 @@
 		return map[string]any{"state": l.State, "running": l.InFlight, "queued": l.Queued, "slots": l.Slots, "pace": l.Pace}
 	}))
 	m.vars.Set("cold", expvar.Func(func() any { return d.coldStatus() }))
+	m.vars.Set("shedding", expvar.Func(func() any { return d.shedding() }))
 	m.vars.Set("outcomes", m.outcomes)
 	m.vars.Set("reasons", m.reasons)
 	m.vars.Set("attempts", &m.attempts)
--- a/node/admission.go
+++ b/node/admission.go
@@ -44,6 +44,7 @@
 	n.runs[id] = run
 	n.noteSender(m.From, now)
 	run.request.ExpectedWork = n.expectedWork(run.request, now)
+	run.request.WorkSpread = n.workSpread(run.request)
 	if run.request.Keyed() && !run.request.KeyGranted {
 		return n.applyKeyActions(n.coordinator.Begin(m.Request, now), now)
 	}
@@ -65,6 +66,7 @@
 // refuseOrHandOn ends a request that the gate will not start, unless it can be
 // handed on to a sibling.
 func (n *Node) refuseOrHandOn(run *runState, reason call.Reason, now time.Time) Command {
+	n.shortage.count(reason, run.request.Priority, now)
 	if n.mayHandOn(run, reason) {
 		if c, ok := n.handOn(run, now); ok {
 			return c
@@ -271,3 +273,18 @@
 func (n *Node) leaving() bool {
 	return n.closing || n.gate.Draining()
 }
+
+// madeByRun reports whether the request is a call that the local upstream makes while it
+// runs another request. The parent must be a request that runs here, so that callers
+// cannot claim it for others.
+func (n *Node) madeByRun(r call.Request) bool {
+	if r.ParentToken == "" {
+		return false
+	}
+	for _, run := range n.runs {
+		if !run.started.IsZero() && run.handedTo == "" && run.request.Token == r.ParentToken {
+			return true
+		}
+	}
+	return false
+}
--- a/node/status.go
+++ b/node/status.go
@@ -29,6 +29,8 @@
 	Queued   int  `json:"queued"`
 	// Cold describes the limit of a cold upstream; nil without one.
 	Cold *admit.ColdStatus `json:"cold,omitempty"`
+	// Shedding is what the gate of the local upstream has refused.
+	Shedding Shedding `json:"shedding"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
 }
@@ -72,7 +74,7 @@
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
 		EvacuatedZones: slices.Clone(n.EvacuatedZones()), Evacuated: n.Evacuated(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
-		Cold: n.ColdStatus(now),
+		Cold: n.ColdStatus(now), Shedding: n.Shedding(now),
 	}
 	return s
 }
