node: an upstream whose health response does not say that it is cold is not limited for it

Callers saw: for 3 s after the restart of a whole fleet beside warm upstreams most requests were refused or late (149 to 159 of 1,125 in time in the first two seconds). Cause: a response without the header counted as cold for the time after the start of the daemon for which upstreams of the service are cold; warm upstreams do not send the header. Change: such a response means cold only while the entry in the list says so.

--- a/node/cold.go
+++ b/node/cold.go
@@ -23,10 +23,8 @@
 
 // coldState is what is known about the local upstream's being cold.
 type coldState struct {
-	// incarnation is the incarnation of the upstream that the gate's knowledge is about,
-	// and since when this daemon knows it.
+	// incarnation is the incarnation of the upstream that the gate's knowledge is about.
 	incarnation string
-	since       time.Time
 	// probeSentAt is when the last probe was sent.
 	probeSentAt time.Time
 	// logged is whether the last log entry said that the limit is in force, and limitedAt
@@ -92,13 +90,14 @@
 	if incarnation == "" || incarnation == n.cold.incarnation {
 		return
 	}
-	n.cold.incarnation, n.cold.since = incarnation, now
+	n.cold.incarnation = incarnation
 	n.gate.ForgetWarmth(now)
 }
 
 // observeWarmth passes what a probe has found to the gate. An upstream whose response does
-// not say whether it is cold counts as cold while its entry in the list says so, and for
-// as long after its start as upstreams of its service are cold.
+// not say that it is cold counts as cold only while its entry in the list says so: if it
+// counted as cold for some time after the start of this daemon, a fleet that restarts
+// beside warm upstreams would refuse most requests for that time.
 func (n *Node) observeWarmth(r measure.Reading, now time.Time) {
 	if !n.hasColdLimit() {
 		return
@@ -110,11 +109,7 @@
 	case measure.NotWarm:
 		n.gate.FoundCold(r.ColdLeft, now)
 	case measure.WarmthUnstated:
-		until := n.cold.since.Add(n.coldSettings(n.cfg.Self.Service).Duration())
-		if listed := n.view.Self().ColdUntil; listed.After(until) {
-			until = listed
-		}
-		if until.After(now) {
+		if until := n.view.Self().ColdUntil; until.After(now) {
 			n.gate.FoundCold(until.Sub(now), now)
 			return
 		}
