soak, platformtest: upstreams are cold after their start and after a fault

Workers of the stand-in are cold for 1.5 s after each start, and again after they were unhealthy, and count what arrives meanwhile.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -24,6 +24,7 @@
 	Processes int           `help:"daemons of each run" default:"6"`
 	Length    time.Duration `help:"length of each run" default:"30s"`
 	Jobs      int           `help:"runs at once" default:"2"`
+	NoCold    bool          `arg:"--no-cold" help:"upstreams are not cold after their start, for builds that do not limit requests to them"`
 	Logs      string        `help:"directory that keeps the logs of failed runs; empty makes one"`
 }
 
@@ -109,9 +110,9 @@
 		fmt.Println("soak:", err)
 		return false
 	}
-	report, err := soak.Run(ctx, soak.Config{Daemon: path, Logs: logs, Seed: seed, Machines: a.Processes, Length: a.Length})
-	fmt.Printf("seed %d: %d events, %d requests, %d served, %d reported not run, %d runs, %d violations\n",
-		seed, len(report.Events), report.Requests, report.Served, report.NotRun, report.Runs, len(report.Violations))
+	report, err := soak.Run(ctx, soak.Config{Daemon: path, Logs: logs, Seed: seed, Machines: a.Processes, Length: a.Length, NoCold: a.NoCold})
+	fmt.Printf("seed %d: %d events, %d requests, %d served, %d reported not run, %d runs, at most %d in a second at a cold upstream, %d violations\n",
+		seed, len(report.Events), report.Requests, report.Served, report.NotRun, report.Runs, report.ColdMost, len(report.Violations))
 	if err == nil && len(report.Violations) == 0 {
 		_ = os.RemoveAll(logs)
 		return true
--- a/soak/check.go
+++ b/soak/check.go
@@ -42,6 +42,7 @@
 		out = append(out, h.checkExchange(e, runs[e.request.Token])...)
 	}
 	out = append(out, h.checkCrashes()...)
+	out = append(out, h.checkCold()...)
 	return append(out, h.checkRecovery()...)
 }
 
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -78,6 +78,8 @@
 		}, StaysOff},
 		"request keeps crashing upstreams":                  {func(h *history) { h.addCrashes(12, 900*time.Millisecond) }, CrashesEnd},
 		"request crashes six upstreams in quick succession": {func(h *history) { h.addCrashes(6, 100*time.Millisecond) }, ""},
+		"too many requests to a cold upstream":              {func(h *history) { h.addCold(60, 28) }, ColdSpared},
+		"as many requests to cold upstreams as allowed":     {func(h *history) { h.addCold(60, 27); h.addCold(9, 3) }, ""},
 		"too few requests served after recovery":            {func(h *history) { h.exchanges[0].result = platformtest.Result{Status: 504} }, Recovers},
 	}
 	for name, test := range tests {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -134,11 +134,17 @@
 	defer f.mu.Unlock()
 	f.configVersion++
 	moved := services[f.configVersion%len(services)]
-	f.store.Configure(f.configVersion, []platformtest.Route{
+	routes := []platformtest.Route{
 		{Name: "look", Prefix: lookupPath, Safe: true, Service: services[0]},
 		{Name: "order", Prefix: orderPath, Service: services[1]},
 		{Name: "moving", Prefix: movingPath, Safe: true, Service: moved},
-	})
+	}
+	for i := range routes {
+		if !f.cfg.NoCold {
+			routes[i].Cold, routes[i].ColdPerSecond = workerColdTime, workerColdPerSecond
+		}
+	}
+	f.store.Configure(f.configVersion, routes)
 	f.history.addConfig(moved, time.Now())
 }
 
@@ -252,6 +258,9 @@
 		w.Set(e.WorkerFault)
 		time.Sleep(e.Duration)
 		w.Set(platformtest.Healthy)
+		if !m.fleet.cfg.NoCold {
+			w.ChillFor(workerColdTime)
+		}
 		return
 	case UpstreamDrain:
 		m.fleet.store.Put(key, draining)
--- a/soak/history.go
+++ b/soak/history.go
@@ -45,6 +45,9 @@
 	// faultsEnded is the time at which the last event ended.
 	faultsEnded time.Time
 	runs        []platformtest.Run
+	// coldArrivals counts the requests and probes that arrived at cold upstreams, and
+	// coldMost is the largest number of them at one upstream within a second.
+	coldArrivals, coldMost int
 }
 
 func newHistory() *history { return &history{drainStarts: map[string]time.Time{}} }
@@ -101,6 +104,9 @@
 	StaysOff Promise = "staysOff"
 	// CrashesEnd: a request that crashes upstreams soon stops reaching them.
 	CrashesEnd Promise = "crashesEnd"
+	// ColdSpared: a cold upstream is not sent more requests and probes in a second than
+	// the bound.
+	ColdSpared Promise = "coldSpared"
 	// Recovers: requests are served again after the faults have ended.
 	Recovers Promise = "recovers"
 	// StaysUp: no process ends unexpectedly. StopsInTime: a daemon stops in time on
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -30,6 +30,10 @@
 	// workerServiceTime how long each takes.
 	workerSlots       = 12
 	workerServiceTime = 20 * time.Millisecond
+	// workerColdTime is how long an upstream is cold after its start, and
+	// workerColdPerSecond the requests per second that it accepts then.
+	workerColdTime      = 1500 * time.Millisecond
+	workerColdPerSecond = 13
 )
 
 // ports holds the port numbers, which are the same on all machines.
@@ -100,8 +104,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.incarnations++
+	cold := workerColdTime
+	if m.fleet.cfg.NoCold {
+		cold = 0
+	}
 	w, err := platformtest.StartWorker(platformtest.WorkerConfig{
-		ID: fmt.Sprintf("i-%d-%d", m.number, m.incarnations), Service: m.service, Zone: m.zone,
+		Cold: cold, ID: fmt.Sprintf("i-%d-%d", m.number, m.incarnations), Service: m.service, Zone: m.zone,
 		Listen: hostPort(m.publicIP, m.fleet.ports.worker), Slots: workerSlots, Work: workerServiceTime, Crash: m.handleCrash,
 	})
 	if err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -44,6 +44,9 @@
 	Length   time.Duration
 	// Events, if not nil, replaces the plan drawn from the seed.
 	Events []Event
+	// NoCold leaves out that upstreams are cold after their start, for daemons of a build
+	// that does not limit what it sends to them.
+	NoCold bool
 }
 
 // Report is the result of a run.
@@ -55,6 +58,9 @@
 	// NotRun counts the requests that were reported to callers as not run.
 	NotRun int
 	Runs   int
+	// ColdArrivals counts the requests and probes that reached cold upstreams, and ColdMost
+	// is the largest number of them at one upstream within a second.
+	ColdArrivals, ColdMost int
 	// ReadyAfter is the time from the start of the fleet until all daemons were ready.
 	ReadyAfter time.Duration
 	Violations []Violation
@@ -95,9 +101,11 @@
 	for _, m := range f.machines {
 		for _, w := range m.workers() {
 			h.runs = append(h.runs, w.Runs()...)
+			h.addCold(w.ColdArrivals())
 		}
 	}
 	report.Requests, report.Runs = len(h.exchanges), len(h.runs)
+	report.ColdArrivals, report.ColdMost = h.coldArrivals, h.coldMost
 	for _, e := range h.exchanges {
 		switch {
 		case e.result.Served():
