--- a/admit/admit.go
+++ b/admit/admit.go
@@ -207,8 +207,8 @@
 	return append(actions, g.refuseAll(call.Leaving)...)
 }
 
-// Open ends a drain after the upstream has started to serve again.
-func (g *Gate) Open() { g.draining = false }
+// Open ends a drain after the upstream has started to serve again. It may be cold then.
+func (g *Gate) Open() { g.draining, g.cold.warmth = false, warmthUnknown }
 
 // Tick refuses queued calls whose deadline has passed and, if Limits.Paced or
 // Limits.ColdLimit is set, starts queued calls.
--- a/admit/cold.go
+++ b/admit/cold.go
@@ -86,23 +86,27 @@
 	return len(g.running) < g.capacity(now) && g.cold.allows(now)
 }
 
-// warmRenewAfter is the age from which the knowledge that the upstream is warm is renewed
-// while calls start.
-const warmRenewAfter = warmTTL / 2
+const (
+	// warmRenewAfter is the age from which the knowledge that the upstream is warm is
+	// renewed while calls start.
+	warmRenewAfter = warmTTL / 2
+	// idleRenewAfter is the same while none do, so that load reports say soon that an
+	// upstream without calls has become cold.
+	idleRenewAfter = time.Second
+)
 
 // probeWarmth requests a probe if it is time to learn whether the upstream is cold: at
-// intervals while it is not known to be warm, and before that knowledge expires while
-// calls start.
+// intervals while it is not known to be warm, before that knowledge expires while calls
+// start, and now and then while none do.
 func (g *Gate) probeWarmth(now time.Time) []Action {
 	l := &g.cold
 	if !l.enabled() || g.draining || !l.mayProbe(now) {
 		return nil
 	}
-	if l.warmth == warm {
-		renew := now.Sub(l.warmAt) >= warmRenewAfter || 2*unconfirmed(l.starts) >= l.limit.Unconfirmed
-		if !renew || len(l.starts) == 0 && g.queue.len() == 0 {
-			return nil
-		}
+	age, busy := now.Sub(l.warmAt), len(l.starts) > 0 || g.queue.len() > 0
+	renew := busy && (age >= warmRenewAfter || 2*unconfirmed(l.starts) >= l.limit.Unconfirmed)
+	if l.warmth == warm && age < idleRenewAfter && !renew {
+		return nil
 	}
 	return []Action{{Kind: Probe}}
 }
--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -239,3 +239,35 @@
 		})
 	}
 }
+
+// TestWarmthIsForgotten guards against an upstream that counts as warm although it may
+// have been replaced, or was not probed for long.
+func TestWarmthIsForgotten(t *testing.T) {
+	tests := map[string]struct {
+		do             func(g *admit.Gate, now time.Time)
+		limited, probe bool
+	}{
+		"nothing happened":  {func(*admit.Gate, time.Time) {}, false, false},
+		"replaced":          {func(g *admit.Gate, now time.Time) { g.ForgetWarmth(now) }, true, true},
+		"drained and back":  {func(g *admit.Gate, now time.Time) { g.Drain(now); g.Open() }, true, true},
+		"draining":          {func(g *admit.Gate, now time.Time) { g.Drain(now) }, false, false},
+		"found cold":        {func(g *admit.Gate, now time.Time) { g.FoundCold(time.Second, now) }, true, true},
+		"idle for a second": {func(g *admit.Gate, now time.Time) { g.FoundWarm(now.Add(-time.Second)) }, false, true},
+		"earlier response": {func(g *admit.Gate, now time.Time) {
+			g.ForgetWarmth(now)
+			g.FoundWarm(now.Add(-time.Millisecond))
+		}, true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := admit.New(admit.Config{})
+			g.SetLimits(admit.Limits{Slots: 2, Queue: 4, ColdLimit: admit.NewColdLimit(13, 27.5)}, paceAt(0))
+			g.FoundWarm(paceAt(1999))
+			test.do(g, paceAt(2000))
+			actions := g.Tick(paceAt(2000))
+			if probe := len(actions) == 1 && actions[0].Kind == admit.Probe; g.Limited(paceAt(2000)) != test.limited || probe != test.probe {
+				t.Errorf("limited = %v, got %v", g.Limited(paceAt(2000)), actions)
+			}
+		})
+	}
+}
