--- a/admit/admit.go
+++ b/admit/admit.go
@@ -212,8 +212,8 @@
 	return append(actions, g.refuseAll(call.Leaving)...)
 }
 
-// Open ends a drain after the upstream has started to serve again.
-func (g *Gate) Open() { g.draining = false }
+// Open ends a drain after the upstream has started to serve again. It may be cold then.
+func (g *Gate) Open() { g.draining, g.cold.warmth = false, warmthUnknown }
 
 // Evacuate stops new work because the availability zone is evacuated. Like Drain it lets
 // running calls continue and refuses queued ones; each of the two ends for itself.
