exchange: an upstream may send many interim responses

Symptom: four interim responses before the final one made the request fail as unknown.

Cause: at most four heads were read for one response.

Change: up to 1,000; the request's deadline ends the exchange earlier.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -14,8 +14,10 @@
 // returns. A longer body, or one of unknown length, is streamed.
 const MaxBufferedBytes = 64 << 10
 
-// maxResponseHeads limits the interim and final heads read for one response.
-const maxResponseHeads = 4
+// maxResponseHeads limits the interim and final heads read for one response. A server may
+// report progress (102) several times a second for as long as its longest request takes;
+// the request's deadline ends that earlier.
+const maxResponseHeads = 1000
 
 var (
 	errTooManyInterim = errors.New("too many interim responses")
