--- a/call/header.go
+++ b/call/header.go
@@ -31,4 +31,7 @@
 	// is how long to wait for one, and how long ago the sender's own copy was
 	// confirmed, both in milliseconds.
 	HeaderPoll = "Pomelodoor-Poll"
+	// HeaderEra holds the store's era of the revision in HeaderCopy. Daemons without it
+	// know no eras.
+	HeaderEra = "Pomelodoor-Era"
 )
--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -9,6 +9,7 @@
 
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/follow"
 	"pomelodoor.example/pomelodoor/ingress"
 	"pomelodoor.example/pomelodoor/node"
 )
@@ -64,7 +65,8 @@
 	if ingress.CallerLeft(ctx, time.Now()) {
 		return &answer{result: node.Attempt{Outcome: call.NotRun, Reason: call.Cancelled}}
 	}
-	f.Revision = d.storeCopy.revision.Load()
+	held := d.storeCopy.version()
+	f.Era, f.Revision = held.Era, held.Revision
 	ingress.WriteForwarded(&req.Header, f, time.Now())
 	resp := fasthttp.AcquireResponse()
 	if err := d.peers.get(address).Do(ctx, req, resp); err != nil {
@@ -76,9 +78,9 @@
 		}}
 	}
 	a := &answer{response: resp}
-	var revision uint64
-	a.result, revision = readResult(resp, f.Target)
-	d.observeRevision(revision, f.Target)
+	var theirs follow.Version
+	a.result, theirs = readResult(resp, f.Target)
+	d.observeVersion(theirs, f.Target)
 	if len(resp.Header.Peek(call.HeaderOutcome)) == 0 && req.MayContinue() && !bodyConsumed(req) {
 		// The other daemon refused the request before it received the body.
 		a.result = node.Attempt{Outcome: call.NotRun, Reason: call.Overloaded}
@@ -96,11 +98,11 @@
 	return !ok || source.Consumed()
 }
 
-// readResult reads the outcome that the other daemon reports, and the store
-// revision that it holds. A response without a valid outcome and report of the
+// readResult reads the outcome that the other daemon reports, and the version of the
+// store that it holds. A response without a valid outcome and report of the
 // target daemon is treated as a lost connection; only WrongIncarnation may come
 // from another daemon.
-func readResult(resp *fasthttp.Response, target string) (node.Attempt, uint64) {
+func readResult(resp *fasthttp.Response, target string) (node.Attempt, follow.Version) {
 	h := &resp.Header
 	result := node.Attempt{
 		Outcome:  call.Outcome(h.Peek(call.HeaderOutcome)),
@@ -111,11 +113,11 @@
 	valid := result.Outcome == call.Run || result.Outcome == call.NotRun || result.Outcome == call.Unknown
 	report, err := ingress.ReadReport(h)
 	if !valid || err != nil || report.From != target && result.Reason != call.WrongIncarnation {
-		return node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost}, 0
+		return node.Attempt{Outcome: call.Unknown, Reason: call.ConnectionLost}, follow.Version{}
 	}
 	result.Load, result.HasLoad = report.Load, report.HasLoad
 	result.RemoteTime, result.Work = report.Elapsed, report.Work
-	return result, report.Revision
+	return result, follow.Version{Era: report.Era, Revision: report.Revision}
 }
 
 // classifyFailure returns the outcome and the reason of a failed exchange.
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -24,16 +24,16 @@
 
 // encodedChanges are the changes between two revisions as they are sent to all that poll.
 type encodedChanges struct {
-	after, revision uint64
-	body            []byte
-	zipped          bool
+	after, held follow.Version
+	body        []byte
+	zipped      bool
 	// tooLong is true if they are not sent, and must be read from the store.
 	tooLong bool
 }
 
-// encodeChanges encodes the changes after a revision, or none if they are too long.
-func encodeChanges(c follow.Copy, after uint64) encodedChanges {
-	e := encodedChanges{after: after, revision: c.Revision, tooLong: c.ReadStore}
+// encodeChanges encodes the changes after a version, or none if they are too long.
+func encodeChanges(c follow.Copy, after follow.Version) encodedChanges {
+	e := encodedChanges{after: after, held: follow.Version{Era: c.Era, Revision: c.Revision}, tooLong: c.ReadStore}
 	body, err := follow.EncodeChanges(c.Items)
 	if err == nil && len(body) >= minZipBytes {
 		body, e.zipped = fasthttp.AppendGzipBytesLevel(nil, body, fasthttp.CompressBestSpeed), true
--- a/daemon/changes_test.go
+++ b/daemon/changes_test.go
@@ -38,8 +38,8 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			e := encodeChanges(follow.Copy{Revision: 400, Items: test.items}, 7)
-			if e.zipped != test.zipped || e.tooLong != test.tooLong || e.after != 7 || e.revision != 400 {
+			e := encodeChanges(follow.Copy{Revision: 400, Items: test.items}, follow.Version{Revision: 7})
+			if e.zipped != test.zipped || e.tooLong != test.tooLong || e.after.Revision != 7 || e.held.Revision != 400 {
 				t.Fatalf("got zipped %t, tooLong %t, %d B", e.zipped, e.tooLong, len(e.body))
 			}
 			if test.tooLong {
@@ -61,7 +61,7 @@
 }
 
 func TestUnzipLimits(t *testing.T) {
-	large := encodeChanges(follow.Copy{Revision: 1, Items: []follow.Item{{Key: "a", Value: bytes.Repeat([]byte("a"), 100_000), Revision: 1}}}, 0)
+	large := encodeChanges(follow.Copy{Revision: 1, Items: []follow.Item{{Key: "a", Value: bytes.Repeat([]byte("a"), 100_000), Revision: 1}}}, follow.Version{})
 	if _, err := unzip(large.body, 1000); !errors.Is(err, exchange.ErrTooLong) {
 		t.Fatalf("got error %v, want ErrTooLong", err)
 	}
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -14,16 +14,17 @@
 // documentFeed sends the node the documents that are newer than those it has
 // sent before.
 type documentFeed struct {
-	d    *Daemon
-	seen map[string]uint64
+	d *Daemon
+	// seen holds the version of each key that was sent.
+	seen map[string]follow.Version
 }
 
 func (feed *documentFeed) feed(f *follow.Follower) {
 	for _, item := range f.Items() {
-		if !strings.HasPrefix(item.Key, platform.DocumentsPrefix) || item.Revision <= feed.seen[item.Key] {
+		if !strings.HasPrefix(item.Key, platform.DocumentsPrefix) || !item.Version().After(feed.seen[item.Key]) {
 			continue
 		}
-		feed.seen[item.Key] = item.Revision
+		feed.seen[item.Key] = item.Version()
 		key, body, ok, err := platform.DecodeDocument(item)
 		if !ok {
 			feed.d.logFor("store").Warn("Ignored a store key that is not a document key.", "key", item.Key, "storeRevision", item.Revision)
@@ -41,14 +42,14 @@
 type upstreamFeed struct {
 	d     *Daemon
 	ports platform.Ports
-	// decoded caches the decoded value of each key and its revision.
+	// decoded caches the decoded value of each key and its version.
 	decoded map[string]decodedUpstream
 }
 
 type decodedUpstream struct {
-	revision uint64
-	entry    membership.StoreEntry
-	ok       bool
+	version follow.Version
+	entry   membership.StoreEntry
+	ok      bool
 }
 
 func (feed *upstreamFeed) feed(f *follow.Follower, now time.Time) {
@@ -64,7 +65,7 @@
 			continue
 		}
 		decoded, known := feed.decoded[key]
-		if !known || decoded.revision != item.Revision {
+		if !known || decoded.version != item.Version() {
 			decoded = feed.decode(item, now)
 			feed.decoded[key] = decoded
 		}
@@ -72,7 +73,7 @@
 			list = append(list, decoded.entry)
 		}
 	}
-	feed.d.update(node.InstancesListed{List: list, Revision: f.Revision()})
+	feed.d.update(node.InstancesListed{List: list, Era: f.Version().Era, Revision: f.Revision()})
 }
 
 func (feed *upstreamFeed) decode(item follow.Item, now time.Time) decodedUpstream {
@@ -84,7 +85,8 @@
 		// The store names no regions.
 		entry.Region = self.Region
 	}
-	return decodedUpstream{revision: item.Revision, entry: entry, ok: err == nil}
+	entry.Revision = item.Revision
+	return decodedUpstream{version: item.Version(), entry: entry, ok: err == nil}
 }
 
 // logOddItem logs an item of the store that cannot be used.
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -105,20 +105,21 @@
 	}
 }
 
-// observeRevision records the store revision that another daemon holds. If the
+// observeVersion records the version of the store that another daemon holds. If the
 // watch in progress has lagged behind it for too long, the watch is restarted:
 // the store may never answer it.
-func (d *Daemon) observeRevision(revision uint64, from string) {
-	if revision <= d.storeCopy.revision.Load() {
+func (d *Daemon) observeVersion(theirs follow.Version, from string) {
+	if !theirs.After(d.storeCopy.version()) {
 		return
 	}
 	// In direct mode the ID of a daemon is its peer address.
 	d.lending.aheadPeer.Store(&from)
-	if !d.storeCopy.observe(revision, time.Now()) {
+	if !d.storeCopy.observe(theirs, time.Now()) {
 		return
 	}
+	held := d.storeCopy.version()
 	d.logFor("store").Warn("Another daemon holds a later revision of the store. The watch is restarted.", "from", from,
-		"theirs", revision, "revision", d.storeCopy.revision.Load())
+		"theirs", theirs.Revision, "revision", held.Revision, "theirEra", theirs.Era, "era", held.Era)
 	d.storeCall.restart()
 }
 
@@ -140,20 +141,20 @@
 	if action.Kind == follow.Poll {
 		return d.pollReader(ctx, action)
 	}
-	changes, asOf, err := d.store.Watch(ctx, platform.AllKeys, action.Revision, action.Timeout)
+	page, err := d.store.Watch(ctx, platform.AllKeys, action.Revision, action.Timeout)
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
 		d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool {
 			f.HistoryLost(now)
 			return false
 		})
-		d.logFor("store").Info("The store has dropped its history. All keys are listed again.", "revision", d.storeCopy.revision.Load())
+		d.logFor("store").Info("The store has dropped its history. All keys are listed again.", "revision", d.storeCopy.version().Revision)
 		return nil
 	case err != nil:
 		d.readFailed(ctx)
 		return err
 	}
-	page := follow.Page{Items: changes, AsOf: asOf, Received: d.heartbeat.receivedBy(time.Now())}
+	page.Received = d.heartbeat.receivedBy(time.Now())
 	d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool { return f.Watched(page, now) })
 	return nil
 }
@@ -173,9 +174,9 @@
 func (d *Daemon) logStoreState(wasFailing bool, err error) {
 	switch isFailing := d.storeCopy.failing(); {
 	case isFailing && !wasFailing:
-		d.logFor("store").Warn("The store is unavailable.", "revision", d.storeCopy.revision.Load(), "error", err)
+		d.logFor("store").Warn("The store is unavailable.", "revision", d.storeCopy.version().Revision, "error", err)
 	case wasFailing && !isFailing:
-		d.logFor("store").Info("The store is available again.", "revision", d.storeCopy.revision.Load())
+		d.logFor("store").Info("The store is available again.", "revision", d.storeCopy.version().Revision)
 	}
 }
 
--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -45,20 +46,20 @@
 	if d.lending.inProgress.Load() {
 		return
 	}
-	revision, due := d.storeCopy.queryDue(now)
+	held, due := d.storeCopy.queryDue(now)
 	if !due {
 		return
 	}
 	d.lending.inProgress.Store(true)
 	d.startTask(func() {
 		defer d.lending.inProgress.Store(false)
-		d.borrow(revision)
+		d.borrow(held)
 	})
 }
 
-// borrow requests a copy newer than a revision from one neighbour and applies
+// borrow requests a copy newer than a version from one neighbour and applies
 // it.
-func (d *Daemon) borrow(newerThan uint64) {
+func (d *Daemon) borrow(newerThan follow.Version) {
 	address := d.lender()
 	if address == "" {
 		return
@@ -68,7 +69,7 @@
 	c, err := d.requestCopy(ctx, address, newerThan)
 	if err != nil {
 		if !d.lending.failureLogged && d.ctx.Err() == nil {
-			d.logFor("store").Warn("Could not borrow a copy of the store from a neighbour.", "from", address, "revision", newerThan, "error", err)
+			d.logFor("store").Warn("Could not borrow a copy of the store from a neighbour.", "from", address, "revision", newerThan.Revision, "error", err)
 		}
 		d.lending.failureLogged = true
 		return
@@ -77,8 +78,8 @@
 	c.Received = d.heartbeat.receivedBy(time.Now())
 	if before, applied := d.storeCopy.applyCopy(c, address); applied {
 		d.metrics.copiesBorrowed.Add(1)
-		d.logFor("store").Info("Took over a copy of the store from a neighbour.", "from", address, "revision", c.Revision,
-			"revisionBefore", before, "ageMs", c.Age.Milliseconds(), "certain", c.Certain, "keys", len(c.Items))
+		d.logFor("store").Info("Took over a copy of the store from a neighbour.", "from", address, "revision", c.Revision, "era", c.Era,
+			"revisionBefore", before.Revision, "ageMs", c.Age.Milliseconds(), "certain", c.Certain, "keys", len(c.Items))
 	}
 }
 
@@ -109,7 +110,7 @@
 
 // requestCopy requests the copy of another daemon. A copy that is not newer has no
 // items.
-func (d *Daemon) requestCopy(ctx context.Context, address string, newerThan uint64) (follow.Copy, error) {
+func (d *Daemon) requestCopy(ctx context.Context, address string, newerThan follow.Version) (follow.Copy, error) {
 	body, _, err := d.getCopy(ctx, address, newerThan, "")
 	if err != nil {
 		return follow.Copy{}, fmt.Errorf("request a copy of the store: %w", err)
@@ -119,13 +120,14 @@
 
 // getCopy sends a request for the copy of another daemon, with the value of a poll header
 // for its changes. It returns the body of the response and the state in its header.
-func (d *Daemon) getCopy(ctx context.Context, address string, newerThan uint64, poll string) (body, state []byte, err error) {
+func (d *Daemon) getCopy(ctx context.Context, address string, newerThan follow.Version, poll string) (body, state []byte, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetRequestURI("/")
 	req.Header.SetHost("pomelodoor")
-	req.Header.Set(call.HeaderCopy, strconv.FormatUint(newerThan, 10))
+	req.Header.Set(call.HeaderCopy, strconv.FormatUint(newerThan.Revision, 10))
+	req.Header.Set(call.HeaderEra, strconv.FormatUint(newerThan.Era, 10))
 	if poll != "" {
 		req.Header.Set(call.HeaderPoll, poll)
 	}
@@ -148,12 +150,42 @@
 	return body, slices.Clone(resp.Header.Peek(call.HeaderCopy)), nil
 }
 
+// requestedVersion is the version that another daemon holds. One of the previous build names
+// no era, and its revision counts as one of this daemon's era.
+type requestedVersion struct {
+	version follow.Version
+	hasEra  bool
+}
+
+// in returns the version for a daemon whose copy is of an era.
+func (r requestedVersion) in(era uint64) follow.Version {
+	if !r.hasEra {
+		r.version.Era = era
+	}
+	return r.version
+}
+
+var errVersionHeader = errors.New("the headers hold no version of the store")
+
+func parseRequestedVersion(revision, era []byte) (r requestedVersion, err error) {
+	if r.version.Revision, err = strconv.ParseUint(string(revision), 10, 64); err != nil {
+		return r, fmt.Errorf("%w: %w", errVersionHeader, err)
+	}
+	if r.hasEra = len(era) > 0; !r.hasEra {
+		return r, nil
+	}
+	if r.version.Era, err = strconv.ParseUint(string(era), 10, 64); err != nil {
+		return r, fmt.Errorf("%w: %w", errVersionHeader, err)
+	}
+	return r, nil
+}
+
 // serveCopy sends this daemon's copy of the store to another daemon, or status
 // 503 if it has none.
 func (d *Daemon) serveCopy(ctx *fasthttp.RequestCtx, revision []byte) {
-	newerThan, err := strconv.ParseUint(string(revision), 10, 64)
+	newerThan, err := parseRequestedVersion(revision, ctx.Request.Header.Peek(call.HeaderEra))
 	if err != nil {
-		ctx.Error(call.HeaderCopy+" holds no revision", fasthttp.StatusBadRequest)
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
 	if poll := ctx.Request.Header.Peek(call.HeaderPoll); poll != nil {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -21,6 +21,8 @@
 	// copiesBorrowed counts the copies of the store taken over from neighbours,
 	// copiesLent those sent to them.
 	copiesBorrowed, copiesLent expvar.Int
+	// storeReturns counts the returns of the store from an older copy.
+	storeReturns expvar.Int
 	// polls counts the answers of other daemons that read the store for this one.
 	polls expvar.Int
 	// invalidResponses counts responses of the upstream with an invalid status.
@@ -51,6 +53,7 @@
 	m.vars.Set("copiesLent", &m.copiesLent)
 	m.vars.Set("storePolls", &m.polls)
 	m.vars.Set("invalidResponses", &m.invalidResponses)
+	m.vars.Set("storeReturns", &m.storeReturns)
 	m.vars.Set("storeCopy", expvar.Func(func() any { return d.storeCopy.status(time.Now()) }))
 	m.vars.Set("controlBytesOut", expvar.Func(func() any { return d.control.BytesOut() }))
 	m.vars.Set("controlBytesIn", expvar.Func(func() any { return d.control.BytesIn() }))
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -11,6 +11,7 @@
 	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/follow"
 	"pomelodoor.example/pomelodoor/ingress"
 	"pomelodoor.example/pomelodoor/node"
 )
@@ -36,7 +37,7 @@
 		d.refuseRequest(ctx, err)
 		return
 	}
-	d.observeRevision(f.Revision, f.From)
+	d.observeVersion(follow.Version{Era: f.Era, Revision: f.Revision}, f.From)
 	body, err := ingress.ReadBody(ctx, maxForwardedBodyBytes)
 	if err != nil {
 		d.refuseRequest(ctx, err)
@@ -78,9 +79,10 @@
 
 // writeReport adds the report that only daemons send to each other.
 func (d *Daemon) writeReport(ctx *fasthttp.RequestCtx, a *answer, since time.Time) {
+	held := d.storeCopy.version()
 	ingress.WriteReport(&ctx.Response.Header, ingress.Report{
 		From: d.self.ID, Load: a.result.Load, HasLoad: a.result.HasLoad,
-		Elapsed: time.Since(since), Work: a.result.Work, Revision: d.storeCopy.revision.Load(),
+		Elapsed: time.Since(since), Work: a.result.Work, Era: held.Era, Revision: held.Revision,
 	})
 }
 
--- a/daemon/polling.go
+++ b/daemon/polling.go
@@ -32,7 +32,8 @@
 	ctx, cancel := context.WithTimeout(ctx, action.Timeout)
 	defer cancel()
 	age := d.storeCopy.age(time.Now())
-	c, err := d.requestChanges(ctx, action.Reader, action.Revision, max(action.Timeout-pollMargin, 0), age)
+	held := follow.Version{Era: action.Era, Revision: action.Revision}
+	c, err := d.requestChanges(ctx, action.Reader, held, max(action.Timeout-pollMargin, 0), age)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool {
@@ -57,8 +58,8 @@
 	return nil
 }
 
-// requestChanges polls another daemon for its changes after a revision.
-func (d *Daemon) requestChanges(ctx context.Context, reader string, after uint64, wait, age time.Duration) (follow.Copy, error) {
+// requestChanges polls another daemon for its changes after a version.
+func (d *Daemon) requestChanges(ctx context.Context, reader string, after follow.Version, wait, age time.Duration) (follow.Copy, error) {
 	body, state, err := d.getCopy(ctx, reader, after, formatPoll(wait, age))
 	if err != nil {
 		return follow.Copy{}, fmt.Errorf("poll %s: %w", reader, err)
@@ -66,8 +67,8 @@
 	return follow.DecodeChanges(state, body)
 }
 
-// servePoll answers the poll of another daemon for the changes after a revision.
-func (d *Daemon) servePoll(ctx *fasthttp.RequestCtx, after uint64, poll string) {
+// servePoll answers the poll of another daemon for the changes after a version.
+func (d *Daemon) servePoll(ctx *fasthttp.RequestCtx, after requestedVersion, poll string) {
 	wait, age, err := parsePoll(poll)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
--- a/daemon/store_copy.go
+++ b/daemon/store_copy.go
@@ -15,9 +15,8 @@
 // and copies of neighbours.
 type storeCopy struct {
 	d *Daemon
-	// revision is the revision of the copy, for readers that must not wait for
-	// the mutex.
-	revision atomic.Uint64
+	// held is the version of the copy, for readers that must not wait for the mutex.
+	held atomic.Pointer[follow.Version]
 
 	mu        sync.Mutex
 	follower  *follow.Follower
@@ -39,7 +38,7 @@
 		d:         d,
 		renewed:   make(chan struct{}),
 		follower:  follow.New(follow.Config{Rand: rand.Uint64, WatchDelay: d.settings.watchDelay(), ApplyWithin: d.settings.bounds.ApplyTimeout}),
-		documents: &documentFeed{d: d, seen: map[string]uint64{}},
+		documents: &documentFeed{d: d, seen: map[string]follow.Version{}},
 		upstreams: &upstreamFeed{d: d, ports: d.ports(), decoded: map[string]decodedUpstream{}},
 	}
 }
@@ -50,7 +49,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := change(s.follower)
-	s.revision.Store(s.follower.Revision())
+	s.noteVersion(s.follower.Version())
 	if changed {
 		s.documents.feed(s.follower)
 		s.upstreams.feed(s.follower, time.Now())
@@ -62,6 +61,28 @@
 	return changed
 }
 
+// version returns the version of the copy.
+func (s *storeCopy) version() follow.Version {
+	if held := s.held.Load(); held != nil {
+		return *held
+	}
+	return follow.Version{}
+}
+
+// noteVersion records the version of the copy, and logs that a new era has begun.
+func (s *storeCopy) noteVersion(held follow.Version) {
+	before := s.version()
+	if held == before {
+		return
+	}
+	s.held.Store(&held)
+	if held.Era != before.Era && before.Revision > 0 {
+		s.d.metrics.storeReturns.Add(1)
+		s.d.logFor("store").Warn("The store has returned from an older copy.", "era", held.Era, "eraBefore", before.Era,
+			"revision", held.Revision, "revisionBefore", before.Revision)
+	}
+}
+
 // applyAnswer applies an answer of the store or of a reader, or its failure, and wakes
 // the polls that wait for it.
 func (s *storeCopy) applyAnswer(change func(f *follow.Follower, now time.Time) bool) {
@@ -78,12 +99,12 @@
 	s.renewed = make(chan struct{})
 }
 
-// applyCopy applies a neighbour's copy. It returns the revision held before and
+// applyCopy applies a neighbour's copy. It returns the version held before and
 // whether the copy was applied.
-func (s *storeCopy) applyCopy(c follow.Copy, from string) (before uint64, applied bool) {
+func (s *storeCopy) applyCopy(c follow.Copy, from string) (before follow.Version, applied bool) {
 	now := time.Now()
 	applied = s.apply(func(f *follow.Follower) bool {
-		before = f.Revision()
+		before = f.Version()
 		return f.ApplyCopy(c, from, now)
 	})
 	if applied {
@@ -92,29 +113,30 @@
 	return before, applied
 }
 
-// observe records the revision that another daemon holds, and reports whether
+// observe records the version that another daemon holds, and reports whether
 // the watch in progress must be restarted.
-func (s *storeCopy) observe(revision uint64, now time.Time) bool {
+func (s *storeCopy) observe(theirs follow.Version, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.follower.ObserveRevision(revision, now)
+	return s.follower.Observe(theirs, now)
 }
 
-// lend returns the copy. It has no items if it is not newer than a revision.
-func (s *storeCopy) lend(newerThan uint64) follow.Copy {
+// lend returns the copy. It has no items if it is not newer than a version.
+func (s *storeCopy) lend(newerThan requestedVersion) follow.Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.follower.Lend(newerThan, s.d.otherDaemons(), time.Now())
+	return s.follower.Lend(newerThan.in(s.follower.Version().Era), s.d.otherDaemons(), time.Now())
 }
 
-// awaitChanges waits until the copy has changed since a revision or was confirmed later
+// awaitChanges waits until the copy has changed since a version or was confirmed later
 // than a time, and returns the state of the copy and the changes. It returns what there
 // is when done is closed or the time is up.
-func (s *storeCopy) awaitChanges(after uint64, confirmedAt time.Time, wait time.Duration, done <-chan struct{}) (follow.Copy, encodedChanges) {
+func (s *storeCopy) awaitChanges(requested requestedVersion, confirmedAt time.Time, wait time.Duration, done <-chan struct{}) (follow.Copy, encodedChanges) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		s.mu.Lock()
+		after := requested.in(s.follower.Version().Era)
 		answerable, renewed := s.follower.PollAnswerable(after, confirmedAt), s.renewed
 		s.mu.Unlock()
 		if answerable {
@@ -130,8 +152,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	after := requested.in(s.follower.Version().Era)
 	c := s.follower.Changes(after, maxChangesBytes, time.Now())
-	if s.changes.after != after || s.changes.revision != c.Revision || s.changes.body == nil {
+	if !requested.hasEra && c.Era > 0 && after.Revision > c.Revision {
+		// The daemon of the previous build may hold a revision of an earlier era. It
+		// reads the store itself if this copy says nothing about its own.
+		c.Age = follow.MaxAge
+	}
+	if s.changes.after != after || s.changes.held != s.follower.Version() || s.changes.body == nil {
 		s.changes = encodeChanges(c, after)
 	}
 	c.ReadStore = s.changes.tooLong
@@ -163,7 +191,7 @@
 func (s *storeCopy) status(now time.Time) *node.StoreStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &node.StoreStatus{Revision: s.follower.Revision(), AgeMs: s.follower.Age(now).Milliseconds(), Source: s.source}
+	return &node.StoreStatus{Era: s.follower.Version().Era, Revision: s.follower.Revision(), AgeMs: s.follower.Age(now).Milliseconds(), Source: s.source}
 }
 
 // setSource records where the next answer about the store comes from, and reports
@@ -189,12 +217,12 @@
 	return s.follower.Next(now), s.follower.InFault()
 }
 
-// queryDue returns the revision of the copy and whether a neighbour must be
+// queryDue returns the version of the copy and whether a neighbour must be
 // queried for its copy now.
-func (s *storeCopy) queryDue(now time.Time) (revision uint64, due bool) {
+func (s *storeCopy) queryDue(now time.Time) (held follow.Version, due bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.follower.Revision(), s.follower.QueryDue(now)
+	return s.follower.Version(), s.follower.QueryDue(now)
 }
 
 func (s *storeCopy) failing() bool {
--- a/follow/changes_message.go
+++ b/follow/changes_message.go
@@ -12,6 +12,7 @@
 
 // stateMessage is the encoding of a Copy without its items.
 type stateMessage struct {
+	Era       uint64 `json:"era,omitempty"`
 	Revision  uint64 `json:"revision"`
 	AgeMs     int64  `json:"ageMs"`
 	GraceMs   int64  `json:"graceMs,omitempty"`
@@ -31,7 +32,7 @@
 // EncodeState returns the state part of the answer to a poll.
 func EncodeState(c Copy) ([]byte, error) {
 	text, err := json.Marshal(stateMessage{
-		Revision: c.Revision, AgeMs: c.Age.Milliseconds(), GraceMs: c.Grace.Milliseconds(), Leaving: c.Leaving, ReadStore: c.ReadStore,
+		Era: c.Era, Revision: c.Revision, AgeMs: c.Age.Milliseconds(), GraceMs: c.Grace.Milliseconds(), Leaving: c.Leaving, ReadStore: c.ReadStore,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode the state of a copy: %w", err)
@@ -73,7 +74,7 @@
 		return Copy{}, fmt.Errorf("%w: changes: %w", ErrCopy, err)
 	}
 	c := Copy{
-		Revision: m.Revision, Age: decodeAge(m.AgeMs), Grace: time.Duration(m.GraceMs) * time.Millisecond,
+		Era: m.Era, Revision: m.Revision, Age: decodeAge(m.AgeMs), Grace: time.Duration(m.GraceMs) * time.Millisecond,
 		Leaving: m.Leaving, ReadStore: m.ReadStore,
 	}
 	for _, encoded := range messages {
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -20,6 +20,8 @@
 // Copy is a daemon's copy of the store, lent to a daemon that gets no response
 // from the store, or the changes sent to one that polls.
 type Copy struct {
+	// Era is the store's era of the copy; 0 from a daemon that knows none.
+	Era uint64
 	// Revision is the store's revision of the copy. Single items may be newer.
 	Revision uint64
 	// Age is the time since the copy was last confirmed to be current.
@@ -65,11 +67,11 @@
 }
 
 // Lend returns the copy for another daemon, without the keys that the store no
-// longer has. It has no items unless its revision is above newerThan. others is the
+// longer has. It has no items unless its version is after newerThan. others is the
 // number of other daemons.
-func (f *Follower) Lend(newerThan uint64, others int, now time.Time) Copy {
-	c := Copy{Revision: f.revision, Age: f.Age(now), Certain: f.Certain(others)}
-	if c.Revision <= newerThan {
+func (f *Follower) Lend(newerThan Version, others int, now time.Time) Copy {
+	c := Copy{Era: f.era, Revision: f.revision, Age: f.Age(now), Certain: f.Certain(others)}
+	if !c.version().After(newerThan) {
 		return c
 	}
 	c.Items = make([]Item, 0, len(f.items))
@@ -84,25 +86,34 @@
 // ApplyCopy replaces the copy with that of another daemon if that is newer, and reports
 // whether it did. A certain copy counts as one of the required lenders even if it
 // is empty because the lender has nothing newer. The store is still listed as soon
-// as it answers.
+// as it answers. A copy of a lower era than the one held is ignored.
 func (f *Follower) ApplyCopy(c Copy, from string, now time.Time) bool {
+	if c.Era < f.era {
+		return false
+	}
 	if c.Certain {
 		f.lenders[from] = true
 	}
-	if c.Revision <= f.revision || len(c.Items) == 0 {
+	if !c.version().After(f.Version()) || len(c.Items) == 0 {
 		return false
 	}
-	old := f.items
-	f.items = make(map[string]Item, len(c.Items))
+	items := make(map[string]Item, len(c.Items))
 	for _, item := range c.Items {
-		if held := old[item.Key]; held.Revision > item.Revision {
+		item.Era = c.Era
+		if held := f.items[item.Key]; held.Version().After(item.Version()) {
 			item = held
 		}
-		f.items[item.Key] = item
+		items[item.Key] = item
+	}
+	if c.Era > f.era {
+		f.beginEra(c.Era, now)
+		f.replace(items, now)
+	} else {
+		f.items = items
+		clear(f.retainedUntil)
 	}
-	clear(f.retainedUntil)
 	f.forgetHistory(c.Revision)
-	f.revision, f.lentRevision, f.listed = c.Revision, c.Revision, false
+	f.revision, f.lentVersion, f.listed = c.Revision, c.version(), false
 	f.confirmedAt = later(f.confirmedAt, receivedBy(c.Received, now).Add(-c.Age))
 	return true
 }
--- a/follow/copy_test.go
+++ b/follow/copy_test.go
@@ -138,17 +138,17 @@
 			checkedMs: []int{100, 350, 850, 1850, 2849, 2850}, queriedMs: []int{100, 350, 850, 1850, 2850},
 		},
 		"other daemon has a later revision": {
-			events:    []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {40, func(f *follow.Follower, now time.Time) { f.ObserveRevision(6, now) }}},
+			events:    []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {40, func(f *follow.Follower, now time.Time) { f.Observe(follow.Version{Revision: 6}, now) }}},
 			checkedMs: []int{40, 200, 290}, queriedMs: []int{40, 290},
 		},
 		"other daemon has the same revision": {
-			events:    []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {40, func(f *follow.Follower, now time.Time) { f.ObserveRevision(5, now) }}},
+			events:    []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {40, func(f *follow.Follower, now time.Time) { f.Observe(follow.Version{Revision: 5}, now) }}},
 			checkedMs: []int{40, 309, 310}, queriedMs: []int{310},
 		},
 		"later revision does not shorten the first interval": {
 			events: []event{{0, listed(5, false, item("a", 1))}, {10, failed}, {400, func(f *follow.Follower, now time.Time) {
 				f.QueryDue(now)
-				f.ObserveRevision(6, now)
+				f.Observe(follow.Version{Revision: 6}, now)
 			}}},
 			checkedMs: []int{500, 649, 650}, queriedMs: []int{650},
 		},
@@ -178,19 +178,19 @@
 }
 
 // TestLentNeverGoesBack lets two followers of one store lend to each other while
-// responses arrive late. The revision of a copy must never decrease, and the copy
-// must equal the state of the store at that revision.
+// responses arrive late, and lets the store return from older copies. The version of a copy
+// must never decrease, and the copy must equal the state of the store at that version.
 func TestLentNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &versionedStore{states: []map[string]follow.Item{{}}}
+		s := &versionedStore{eras: [][]map[string]follow.Item{{{}}}}
 		followers := []*follow.Follower{follow.New(follow.Config{}), follow.New(follow.Config{})}
 		now := start
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, 1).Draw(t, "who")
 			f, lender := followers[i], followers[1-i]
-			before := f.Revision()
-			switch rapid.SampledFrom([]string{"change", "list", "late", "watch", "fail", "lend"}).Draw(t, "what") {
+			before := f.Version()
+			switch rapid.SampledFrom([]string{"change", "list", "late", "watch", "fail", "lend", "return"}).Draw(t, "what") {
 			case "change":
 				s.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.Bool().Draw(t, "gone"))
 			case "list":
@@ -201,25 +201,31 @@
 				s.change("a", false)
 				lender.Listed(s.page(), now)
 				f.Failed(now)
-				f.ApplyCopy(lender.Lend(0, 1, now), "n-1", now)
-				before = f.Revision()
+				f.ApplyCopy(lender.Lend(follow.Version{}, 1, now), "n-1", now)
+				before = f.Version()
 				f.Listed(page, now)
 			case "watch":
 				if f.Next(now).Kind == follow.Watch {
+					if f.Version().Era < s.era() {
+						f.HistoryLost(now)
+						break
+					}
 					changes, asOf := s.changesAfter(f.Revision())
 					s.change("b", true)
 					lender.Listed(s.page(), now)
-					f.ApplyCopy(lender.Lend(0, 1, now), "n-1", now)
-					before = f.Revision()
-					f.Watched(follow.Page{Items: changes, AsOf: asOf}, now)
+					f.ApplyCopy(lender.Lend(follow.Version{}, 1, now), "n-1", now)
+					before = f.Version()
+					f.Watched(follow.Page{Items: changes, AsOf: asOf, Era: s.era()}, now)
 				}
 			case "fail":
 				f.Failed(now)
 			case "lend":
-				f.ApplyCopy(lender.Lend(0, 1, now), "n-1", now)
+				f.ApplyCopy(lender.Lend(follow.Version{}, 1, now), "n-1", now)
+			case "return":
+				s.returnFrom(rapid.Uint64Range(0, s.revision()).Draw(t, "copy"))
 			}
-			if f.Revision() < before {
-				t.Fatalf("revision went back: got %d, want at least %d", f.Revision(), before)
+			if before.After(f.Version()) {
+				t.Fatalf("version went back: got %+v, want at least %+v", f.Version(), before)
 			}
 			f.Expire(now.Add(time.Hour))
 			s.check(t, f)
@@ -227,26 +233,35 @@
 	})
 }
 
-// versionedStore is a store that keeps its state at every revision.
-type versionedStore struct{ states []map[string]follow.Item }
+// versionedStore is a store that keeps its state at every revision of every era.
+type versionedStore struct{ eras [][]map[string]follow.Item }
 
-func (s *versionedStore) revision() uint64 { return uint64(len(s.states) - 1) }
+func (s *versionedStore) era() uint64 { return uint64(len(s.eras) - 1) }
+
+func (s *versionedStore) states() []map[string]follow.Item { return s.eras[s.era()] }
+
+func (s *versionedStore) revision() uint64 { return uint64(len(s.states()) - 1) }
+
+// returnFrom begins a new era from the state at a revision.
+func (s *versionedStore) returnFrom(revision uint64) {
+	s.eras = append(s.eras, slices.Clone(s.states()[:revision+1]))
+}
 
 func (s *versionedStore) change(key string, remove bool) {
 	next := map[string]follow.Item{}
-	for k, it := range s.states[s.revision()] {
+	for k, it := range s.states()[s.revision()] {
 		next[k] = it
 	}
 	delete(next, key)
 	if !remove {
 		next[key] = item(key, s.revision()+1)
 	}
-	s.states = append(s.states, next)
+	s.eras[s.era()] = append(s.states(), next)
 }
 
 func (s *versionedStore) page() follow.Page {
-	p := follow.Page{AsOf: s.revision()}
-	for _, it := range s.states[s.revision()] {
+	p := follow.Page{AsOf: s.revision(), Era: s.era()}
+	for _, it := range s.states()[s.revision()] {
 		p.Items = append(p.Items, it)
 	}
 	return p
@@ -257,8 +272,8 @@
 	var out []follow.Item
 	for r := revision + 1; r <= s.revision(); r++ {
 		for _, key := range []string{"a", "b", "c"} {
-			old, existed := s.states[r-1][key]
-			current, exists := s.states[r][key]
+			old, existed := s.states()[r-1][key]
+			current, exists := s.states()[r][key]
 			switch {
 			case exists && (!existed || current.Revision != old.Revision):
 				out = append(out, current)
@@ -273,7 +288,7 @@
 // check fails unless the follower's copy equals the state of the store at the
 // copy's revision.
 func (s *versionedStore) check(t *rapid.T, f *follow.Follower) {
-	want := s.states[f.Revision()]
+	want := s.eras[f.Version().Era][f.Revision()]
 	for key, it := range want {
 		if got, ok := f.Items()[key]; !ok || got.Revision != it.Revision {
 			t.Fatalf("%s at revision %d: got %v, want %v", key, f.Revision(), got, it)
--- a/follow/doc.go
+++ b/follow/doc.go
@@ -14,6 +14,10 @@
 // copies, which are ordered by the store's revision. Daemons announce their
 // revisions to each other, so that one whose watch was lost notices it.
 //
+// A store that returns from an older copy assigns revisions again and says so by a higher
+// era. Versions are therefore ordered by era first: a higher one in any answer makes the
+// daemon list the whole store, and nothing of a lower one is applied.
+//
 // Keys that disappear during a store fault are retained for a while after the
 // store recovers: their writers may only have been unable to reach it.
 //
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -51,7 +51,8 @@
 const (
 	// List reads the page that starts after the key Action.After.
 	List Kind = "list"
-	// Watch waits up to Action.Timeout for changes after Action.Revision.
+	// Watch waits up to Action.Timeout for changes after Action.Revision, which is one of
+	// Action.Era.
 	Watch Kind = "watch"
 	// Poll waits up to Action.Timeout for the daemon Action.Reader to hold changes
 	// after Action.Revision, or a later confirmation.
@@ -65,6 +66,7 @@
 	Kind     Kind
 	After    string
 	Reader   string
+	Era      uint64
 	Revision uint64
 	Timeout  time.Duration
 	At       time.Time
@@ -76,14 +78,21 @@
 	Value    []byte
 	Revision uint64
 	Deleted  bool
+	// Era is the store's era of the revision. A Follower sets it.
+	Era uint64
 }
 
+// Version returns the version of the item.
+func (i Item) Version() Version { return Version{i.Era, i.Revision} }
+
 // Page is one response to List or Watch.
 type Page struct {
 	Items []Item
 	More  bool
 	// AsOf is the store's revision at the time of the response.
 	AsOf uint64
+	// Era is the store's era at that time; 0 if the store names none.
+	Era uint64
 	// Received is the time by which the response had arrived, if that is earlier than
 	// the time at which it is applied: a process may have been frozen in between.
 	Received time.Time
@@ -100,8 +109,10 @@
 	listed       bool // a complete list has been applied, and watching keeps it current
 	pendingItems map[string]Item
 	lastKey      string
+	era          uint64 // era of the copy
 	revision     uint64 // revision of the copy, from which to watch
-	listRevision uint64 // revision of the first page of the list in progress
+	// listVersion is the version of the first page of the list in progress.
+	listVersion Version
 
 	// confirmedAt is the time as of which the copy is known to have been current.
 	confirmedAt time.Time
@@ -124,8 +135,8 @@
 	everListed bool
 	// lenders are the other daemons that have lent a certain copy.
 	lenders map[string]bool
-	// lentRevision is the revision of a lent copy that no list has confirmed yet.
-	lentRevision uint64
+	// lentVersion is the version of a lent copy that no list has confirmed yet.
+	lentVersion Version
 	// unansweredSince is the time since which the store has not responded; zero
 	// when it owes no response.
 	unansweredSince time.Time
@@ -185,39 +196,63 @@
 	if expiry, ok := f.nextExpiry(); ok {
 		wait = min(wait, max(expiry.Sub(now), 0))
 	}
-	return Action{Kind: Watch, Revision: f.revision, Timeout: wait}
+	return Action{Kind: Watch, Era: f.era, Revision: f.revision, Timeout: wait}
 }
 
-// Listed applies one page. It reports whether the copy may have changed.
+// Listed applies one page. It reports whether the copy may have changed. A page of a lower
+// era than that of the copy, or of the pages before, counts as a failure.
 func (f *Follower) Listed(page Page, now time.Time) bool {
+	if page.Era < f.era || f.pendingItems != nil && page.Era < f.listVersion.Era {
+		f.Failed(now)
+		return false
+	}
 	f.answered(now)
+	if f.pendingItems != nil && page.Era > f.listVersion.Era {
+		// The store has returned from an older copy between two pages.
+		f.pendingItems, f.lastKey = nil, ""
+		return false
+	}
 	if f.pendingItems == nil {
 		f.pendingItems = map[string]Item{}
-		f.listRevision = page.AsOf
+		f.listVersion = Version{page.Era, page.AsOf}
 	}
 	for _, item := range page.Items {
+		item.Era = page.Era
 		f.pendingItems[item.Key] = item
 		f.lastKey = item.Key
 	}
 	if page.More && len(page.Items) > 0 {
 		return false
 	}
-	if f.listRevision < f.lentRevision {
+	if f.lentVersion.After(f.listVersion) {
 		// The list is older than a copy lent since. It is discarded once; the
 		// next list is applied whatever its revision.
-		f.lentRevision, f.pendingItems, f.lastKey = 0, nil, ""
+		f.lentVersion, f.pendingItems, f.lastKey = Version{}, nil, ""
 		return false
 	}
+	if f.listVersion.Era > f.era {
+		f.beginEra(f.listVersion.Era, now)
+	}
 	f.replace(f.pendingItems, now)
-	f.forgetHistory(f.listRevision)
+	f.forgetHistory(f.listVersion.Revision)
 	f.confirm(receivedBy(page.Received, now))
-	f.lentRevision, f.everListed = 0, true
-	f.listed, f.pendingItems, f.lastKey, f.revision = true, nil, "", f.listRevision
+	f.lentVersion, f.everListed = Version{}, true
+	f.listed, f.pendingItems, f.lastKey, f.revision = true, nil, "", f.listVersion.Revision
 	return true
 }
 
-// Watched applies the changes of a watch. It reports whether the copy has changed.
+// Watched applies the changes of a watch. It reports whether the copy has changed. An answer
+// of a lower era than that of the copy counts as a failure, and after one of a higher era
+// the whole store is listed.
 func (f *Follower) Watched(page Page, now time.Time) bool {
+	switch {
+	case page.Era < f.era:
+		f.Failed(now)
+		return false
+	case page.Era > f.era:
+		f.HistoryLost(now)
+		return false
+	}
 	f.answered(now)
 	f.confirm(receivedBy(page.Received, now))
 	changed := f.expire(now)
@@ -229,12 +264,14 @@
 	return changed
 }
 
-// applyChanges applies the changes that are later than the copy, and reports whether
-// there were any.
+// applyChanges applies the changes of the era that are later than the copy, and reports
+// whether there were any.
 func (f *Follower) applyChanges(changes []Item, now time.Time) bool {
 	changed := false
 	for _, item := range changes {
-		if item.Revision <= max(f.revision, f.items[item.Key].Revision, f.tombstones[item.Key]) {
+		item.Era = f.era
+		known := max(f.revision, f.tombstones[item.Key])
+		if item.Revision <= known || !item.Version().After(f.items[item.Key].Version()) {
 			continue
 		}
 		changed = true
--- a/follow/message.go
+++ b/follow/message.go
@@ -12,6 +12,7 @@
 
 // copyMessage is the encoding of a Copy sent between daemons.
 type copyMessage struct {
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// AgeMs is the time since the lender's copy was last confirmed.
 	AgeMs   int64         `json:"ageMs"`
@@ -34,7 +35,7 @@
 
 // EncodeCopy returns the message for a copy.
 func EncodeCopy(c Copy) ([]byte, error) {
-	m := copyMessage{Revision: c.Revision, AgeMs: c.Age.Milliseconds(), Certain: c.Certain, Items: make([]itemMessage, 0, len(c.Items))}
+	m := copyMessage{Era: c.Era, Revision: c.Revision, AgeMs: c.Age.Milliseconds(), Certain: c.Certain, Items: make([]itemMessage, 0, len(c.Items))}
 	for _, item := range c.Items {
 		m.Items = append(m.Items, itemMessage{Key: item.Key, Value: item.Value, Revision: item.Revision})
 	}
@@ -54,7 +55,7 @@
 	if m.Revision == 0 || m.AgeMs < 0 {
 		return Copy{}, fmt.Errorf("%w: revision %d, age %d ms", ErrCopy, m.Revision, m.AgeMs)
 	}
-	c := Copy{Revision: m.Revision, Age: decodeAge(m.AgeMs), Certain: m.Certain, Items: make([]Item, 0, len(m.Items))}
+	c := Copy{Era: m.Era, Revision: m.Revision, Age: decodeAge(m.AgeMs), Certain: m.Certain, Items: make([]Item, 0, len(m.Items))}
 	for _, encoded := range m.Items {
 		item, err := encoded.item()
 		if err != nil {
@@ -66,5 +67,5 @@
 }
 
 func decodeAge(ms int64) time.Duration {
-	return time.Duration(min(ms, maxCopyAge.Milliseconds())) * time.Millisecond
+	return time.Duration(min(ms, MaxAge.Milliseconds())) * time.Millisecond
 }
--- a/follow/message_test.go
+++ b/follow/message_test.go
@@ -11,7 +11,7 @@
 
 func TestCopyMessage(t *testing.T) {
 	want := follow.Copy{
-		Revision: 9, Age: 1500 * time.Millisecond, Certain: true,
+		Era: 4, Revision: 9, Age: 1500 * time.Millisecond, Certain: true,
 		Items: []follow.Item{item("a", 3), {Key: "b/Ω", Value: []byte{0, 255}, Revision: 12}},
 	}
 	text, err := follow.EncodeCopy(want)
@@ -50,7 +50,7 @@
 
 func TestChangesMessage(t *testing.T) {
 	want := follow.Copy{
-		Revision: 9, Age: 1500 * time.Millisecond, Grace: 2 * time.Second, Leaving: true, ReadStore: true,
+		Era: 4, Revision: 9, Age: 1500 * time.Millisecond, Grace: 2 * time.Second, Leaving: true, ReadStore: true,
 		Items: []follow.Item{item("a", 3), {Key: "b/Ω", Value: []byte{0, 255}, Revision: 12}, deleted("c", 13)},
 	}
 	state, errState := follow.EncodeState(want)
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -30,8 +30,8 @@
 	minSuspicion = 2 * time.Second
 	minRefusal   = 250 * time.Millisecond
 	maxSuspicion = 30 * time.Second
-	// maxCopyAge is the age of a copy that was never confirmed.
-	maxCopyAge = 24 * time.Hour
+	// MaxAge is the age of a copy that was never confirmed.
+	MaxAge = 24 * time.Hour
 	// minPollInterval limits the rate of polls to a reader that returns at once.
 	minPollInterval = 100 * time.Millisecond
 	// minConfirmGain is how much later than its peer's a reader's confirmation must
@@ -82,13 +82,13 @@
 	}
 	reader, usableAt := f.usableReader(now)
 	if reader == "" && f.shared && !f.inFault {
-		return Action{Kind: Watch, Revision: f.revision, Timeout: f.watchTimeout(now)}
+		return Action{Kind: Watch, Era: f.era, Revision: f.revision, Timeout: f.watchTimeout(now)}
 	}
 	if reader == "" {
 		return Action{Kind: Wait, At: earlier(usableAt, readAt)}
 	}
 	f.nextPollAt = now.Add(minPollInterval)
-	return Action{Kind: Poll, Reader: reader, Revision: f.revision, Timeout: readAt.Sub(now)}
+	return Action{Kind: Poll, Reader: reader, Era: f.era, Revision: f.revision, Timeout: readAt.Sub(now)}
 }
 
 // readAt returns when a daemon that polls reads the store itself.
@@ -105,7 +105,7 @@
 }
 
 // read returns a read of the changes that waits for nothing.
-func (f *Follower) read() Action { return Action{Kind: Watch, Revision: f.revision} }
+func (f *Follower) read() Action { return Action{Kind: Watch, Era: f.era, Revision: f.revision} }
 
 // usableReader returns the first reader that is not suspected, or the time at which one
 // can be polled again.
@@ -163,12 +163,21 @@
 		return
 	}
 	wait := min(minBackoff<<min(f.failures-1, 8), f.cfg.percent(requestedReadPercent))
-	f.requestedReadAt = later(now.Add(f.directSpread()), f.failedAt.Add(f.jittered(wait)))
+	f.requestedReadAt = later(now.Add(f.spread(maxDirectSpreadPercent)), f.failedAt.Add(f.jittered(wait)))
 }
 
 // Polled applies a reader's answer to a poll. It reports whether the copy may have
-// changed.
+// changed. The copy of a lower era says nothing; one of a higher era makes this daemon list
+// the whole store.
 func (f *Follower) Polled(c Copy, from string, now time.Time) bool {
+	if c.Era < f.era {
+		f.suspectReader(from, minSuspicion, now)
+		return false
+	}
+	if c.Era > f.era {
+		f.listForEra(now)
+		return false
+	}
 	age := c.Age + now.Sub(receivedBy(c.Received, now))
 	if c.Leaving || age >= f.cfg.percent(maxAgePercent) {
 		f.suspectReader(from, minSuspicion, now)
@@ -208,44 +217,44 @@
 	f.nextPollAt = time.Time{}
 }
 
-// PollAnswerable reports whether a poll of a daemon that holds a revision, confirmed
+// PollAnswerable reports whether a poll of a daemon that holds a version, confirmed
 // at the given time, is to be answered at once.
-func (f *Follower) PollAnswerable(revision uint64, confirmedAt time.Time) bool {
-	return f.revision > revision || f.confirmedAt.Sub(confirmedAt) > minConfirmGain
+func (f *Follower) PollAnswerable(held Version, confirmedAt time.Time) bool {
+	return f.Version().After(held) || f.confirmedAt.Sub(confirmedAt) > minConfirmGain
 }
 
-// Changes returns the changes after a revision, for a poll. If they are not known or
+// Changes returns the changes after a version, for a poll. If they are not known or
 // exceed maxBytes, the copy tells the other daemon to read the store.
-func (f *Follower) Changes(after uint64, maxBytes int, now time.Time) Copy {
-	c := Copy{Revision: f.revision, Age: f.Age(now), Grace: max(f.graceUntil.Sub(now), 0)}
-	if f.revision <= after {
+func (f *Follower) Changes(after Version, maxBytes int, now time.Time) Copy {
+	c := Copy{Era: f.era, Revision: f.revision, Age: f.Age(now), Grace: max(f.graceUntil.Sub(now), 0)}
+	if !f.Version().After(after) {
 		return c
 	}
-	if after < f.historyFrom {
-		return Copy{Revision: f.revision, Age: c.Age, ReadStore: true}
+	if after.Era != f.era || after.Revision < f.historyFrom {
+		return Copy{Era: f.era, Revision: f.revision, Age: c.Age, ReadStore: true}
 	}
 	size := 0
 	for _, item := range f.items {
-		if _, retained := f.retainedUntil[item.Key]; item.Revision > after && !retained {
+		if _, retained := f.retainedUntil[item.Key]; item.Revision > after.Revision && !retained {
 			size += len(item.Key) + len(item.Value)
 			c.Items = append(c.Items, item)
 		}
 	}
 	for key, revision := range f.tombstones {
-		if revision > after {
+		if revision > after.Revision {
 			size += len(key)
 			c.Items = append(c.Items, Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
 	if size > maxBytes {
-		return Copy{Revision: f.revision, Age: c.Age, ReadStore: true}
+		return Copy{Era: f.era, Revision: f.revision, Age: c.Age, ReadStore: true}
 	}
 	return c
 }
 
 // Age returns the time since the copy was last confirmed, 24 h if it never was.
 func (f *Follower) Age(now time.Time) time.Duration {
-	return min(max(now.Sub(f.confirmedAt), 0), maxCopyAge)
+	return min(max(now.Sub(f.confirmedAt), 0), MaxAge)
 }
 
 // confirm records as of when the copy is current. The age at which this daemon would
@@ -254,13 +263,13 @@
 func (f *Follower) confirm(at time.Time) {
 	f.confirmedAt = at
 	f.readRequested = false
-	f.directJitter = f.directSpread()
+	f.directJitter = f.spread(maxDirectSpreadPercent)
 }
 
-// directSpread returns a random delay by which daemons that read the store for the same
-// reason spread their reads.
-func (f *Follower) directSpread() time.Duration {
-	spread := f.cfg.percent(maxDirectSpreadPercent)
+// spread returns a random delay of at most a part of Config.ApplyWithin, by which daemons
+// that read the store for the same reason spread their reads.
+func (f *Follower) spread(percent int) time.Duration {
+	spread := f.cfg.percent(percent)
 	if f.cfg.Rand == nil || spread <= 0 {
 		return 0
 	}
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -143,7 +143,7 @@
 			for _, e := range test.events {
 				e.step(f, at(e.ms))
 			}
-			c := f.Changes(test.after, test.maxBytes, at(3000))
+			c := f.Changes(follow.Version{Revision: test.after}, test.maxBytes, at(3000))
 			other := follow.New(follow.Config{})
 			other.SetReaders([]string{"r-1"}, false)
 			listed(test.after, false, item("a", 1), item("b", 2))(other, at(0))
--- a/follow/simulation_test.go
+++ b/follow/simulation_test.go
@@ -64,11 +64,11 @@
 	members []*simMember
 	random  *rand.Rand
 
-	revision uint64
-	items    map[string]follow.Item
-	log      []follow.Item
-	// changedAt holds the time of each change, by revision.
-	changedAt map[uint64]time.Time
+	era, revision uint64
+	items         map[string]follow.Item
+	log           []follow.Item
+	// changedAt holds the time of each change, by version.
+	changedAt map[follow.Version]time.Time
 	watchers  []*simWait
 	// storeDownUntil is the end of an outage, in which the store answers nobody.
 	storeDownUntil time.Time
@@ -94,17 +94,19 @@
 	frozenAt time.Time
 	// disturbedAt is the end of the last fault.
 	disturbedAt time.Time
-	// held is the revision that the member holds.
-	held uint64
+	// held is the version that the member holds.
+	held follow.Version
 }
 
 // simWait is a watch or poll that waits for an answer.
 type simWait struct {
 	member      *simMember
-	revision    uint64
+	held        follow.Version
 	confirmedAt time.Time
 	done        bool
 	answer      func()
+	// lose ends a call to the store without an answer.
+	lose func()
 }
 
 // newSimFleet returns a fleet in zones of a size. In each, the first three members read
@@ -112,7 +114,7 @@
 func newSimFleet(members, zone int, seed uint64) *simFleet {
 	s := &simFleet{
 		now: start, random: rand.New(rand.NewPCG(seed, 1)), items: map[string]follow.Item{}, revision: 1,
-		changedAt: map[uint64]time.Time{}, callsBy: map[int]int{},
+		changedAt: map[follow.Version]time.Time{}, callsBy: map[int]int{},
 	}
 	for id := range members {
 		m := &simMember{fleet: s, id: id, f: follow.New(follow.Config{ApplyWithin: simApplyWithin, Rand: s.random.Uint64})}
@@ -155,16 +157,17 @@
 		item.Value = nil
 		delete(s.items, key)
 	}
-	revision, changed := s.revision, s.now
-	s.changedAt[revision] = changed
+	version, changed := s.version(), s.now
+	s.changedAt[version] = changed
 	for _, w := range s.watchers {
 		s.answerWatch(w)
 	}
 	s.watchers = nil
 	s.after(simApplyWithin, func() {
 		for _, m := range s.members {
-			if m.inTouch(changed) && m.held < revision {
-				s.violations = append(s.violations, fmt.Sprintf("member %d holds revision %d, not %d, %s after the change", m.id, m.held, revision, simApplyWithin))
+			// A change of an earlier era is lost.
+			if s.era == version.Era && m.inTouch(changed) && version.After(m.held) {
+				s.violations = append(s.violations, fmt.Sprintf("member %d holds %+v, not %+v, %s after the change", m.id, m.held, version, simApplyWithin))
 			}
 		}
 	})
@@ -233,15 +236,17 @@
 func (m *simMember) end(apply func()) {
 	m.deliver(func() {
 		apply()
-		if m.f.Revision() < m.held {
-			m.fleet.violations = append(m.fleet.violations, fmt.Sprintf("member %d went from revision %d to %d", m.id, m.held, m.f.Revision()))
+		held := m.f.Version()
+		if m.held.After(held) {
+			m.fleet.violations = append(m.fleet.violations, fmt.Sprintf("member %d went from %+v to %+v", m.id, m.held, held))
 		}
-		for revision := m.held + 1; revision <= m.f.Revision(); revision++ {
-			if at, ok := m.fleet.changedAt[revision]; ok {
+		for v := m.held; v.Era == held.Era && v.Revision < held.Revision; {
+			v.Revision++
+			if at, ok := m.fleet.changedAt[v]; ok {
 				m.fleet.delays = append(m.fleet.delays, m.fleet.now.Sub(at))
 			}
 		}
-		m.held = m.f.Revision()
+		m.held = held
 		waiting := m.waiting
 		m.waiting = nil
 		for _, w := range waiting {
@@ -255,7 +260,7 @@
 	s := m.fleet
 	s.calls++
 	s.callsBy[int(s.now.Sub(start)/time.Second)]++
-	w := &simWait{member: m, revision: action.Revision}
+	w := &simWait{member: m, held: follow.Version{Era: action.Era, Revision: action.Revision}}
 	fail := func() {
 		if !w.done {
 			w.done = true
@@ -268,7 +273,7 @@
 	}
 	if action.Kind == follow.List {
 		s.after(storeDelay, func() {
-			page := follow.Page{AsOf: s.revision}
+			page := follow.Page{AsOf: s.revision, Era: s.era}
 			for _, item := range s.items {
 				page.Items = append(page.Items, item)
 			}
@@ -279,14 +284,19 @@
 		})
 		return
 	}
+	w.lose = fail
 	w.answer = func() {
+		if w.held.Revision > s.revision {
+			s.after(storeDelay, func() { s.reply(w, func(time.Time) { m.f.HistoryLost(s.now) }) })
+			return
+		}
 		var changes []follow.Item
 		for _, item := range s.log {
-			if item.Revision > w.revision {
+			if item.Revision > w.held.Revision {
 				changes = append(changes, item)
 			}
 		}
-		page := follow.Page{Items: changes, AsOf: s.revision}
+		page := follow.Page{Items: changes, AsOf: s.revision, Era: s.era}
 		s.after(storeDelay, func() {
 			s.reply(w, func(received time.Time) {
 				page.Received = received
@@ -294,7 +304,7 @@
 			})
 		})
 	}
-	if s.revision > w.revision {
+	if s.revision != w.held.Revision {
 		w.answer()
 		return
 	}
@@ -326,7 +336,7 @@
 	var id int
 	_, _ = fmt.Sscan(action.Reader, &id)
 	reader := s.members[id]
-	w := &simWait{member: m, revision: action.Revision, confirmedAt: m.f.ConfirmedAt()}
+	w := &simWait{member: m, held: follow.Version{Era: action.Era, Revision: action.Revision}, confirmedAt: m.f.ConfirmedAt()}
 	s.after(action.Timeout, func() {
 		if !w.done {
 			w.done = true
@@ -334,7 +344,7 @@
 		}
 	})
 	w.answer = func() {
-		c := reader.f.Changes(w.revision, 16<<10, s.now)
+		c := reader.f.Changes(w.held, 16<<10, s.now)
 		if s.lie {
 			c.Age = 0
 		}
@@ -361,7 +371,7 @@
 
 // answerPoll answers a poll, or keeps it waiting.
 func (m *simMember) answerPoll(w *simWait) {
-	if m.f.PollAnswerable(w.revision, w.confirmedAt) {
+	if m.f.PollAnswerable(w.held, w.confirmedAt) {
 		w.give()
 		return
 	}
--- a/follow/watch.go
+++ b/follow/watch.go
@@ -21,12 +21,12 @@
 	return min(max(time.Duration(daemons)*watchTimeoutPerDaemon, minWatchTimeout), DefaultWatchTimeout)
 }
 
-// ObserveRevision records the revision of another daemon's copy. It reports whether the
+// Observe records the version of another daemon's copy. It reports whether the
 // current watch is to be abandoned because others have been ahead of it for too
-// long; it reports this once per watch. While the store does not respond, a higher
-// revision also advances the next query for a copy.
-func (f *Follower) ObserveRevision(revision uint64, now time.Time) bool {
-	if revision <= f.revision {
+// long; it reports this once per watch. While the store does not respond, a later
+// version also advances the next query for a copy.
+func (f *Follower) Observe(theirs Version, now time.Time) bool {
+	if !theirs.After(f.Version()) {
 		return false
 	}
 	if !f.unansweredSince.IsZero() {
--- a/follow/watch_test.go
+++ b/follow/watch_test.go
@@ -26,7 +26,7 @@
 	}
 }
 
-func TestObserveRevision(t *testing.T) {
+func TestObserve(t *testing.T) {
 	listedAt5 := event{0, listed(5, false, item("a", 1))}
 	tests := map[string]struct {
 		events []event
@@ -51,7 +51,7 @@
 			f := followerAfter(test.events)
 			var abandoned []int
 			for _, ms := range test.observedMs {
-				if f.ObserveRevision(test.revision, at(ms)) {
+				if f.Observe(follow.Version{Revision: test.revision}, at(ms)) {
 					abandoned = append(abandoned, ms)
 				}
 			}
@@ -67,8 +67,8 @@
 func TestAbandonedWatchQueriesOtherDaemons(t *testing.T) {
 	f := follow.New(follow.Config{})
 	listed(5, false, item("a", 1))(f, at(0))
-	f.ObserveRevision(6, at(0))
-	if !f.ObserveRevision(6, at(400)) || f.QueryDue(at(699)) || !f.QueryDue(at(700)) {
+	f.Observe(follow.Version{Revision: 6}, at(0))
+	if !f.Observe(follow.Version{Revision: 6}, at(400)) || f.QueryDue(at(699)) || !f.QueryDue(at(700)) {
 		t.Fatal("want a query exactly 300 ms after the watch is abandoned")
 	}
 }
@@ -78,7 +78,7 @@
 func TestPollerIgnoresOthersRevisions(t *testing.T) {
 	f := poller()
 	for _, ms := range []int{100, 600, 1200} {
-		if f.ObserveRevision(6, at(ms)) {
+		if f.Observe(follow.Version{Revision: 6}, at(ms)) {
 			t.Fatalf("got a restart after %d ms, want none", ms)
 		}
 	}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -28,6 +28,7 @@
 	fieldWaitWhenSlow    = "w"
 	fieldKeyGranted      = "k"
 	fieldRevision        = "v"
+	fieldEra             = "ve"
 )
 
 // ParseForwarded reads a request that another daemon has forwarded. dialect is that of
@@ -77,7 +78,7 @@
 		name  string
 		value *uint64
 	}{
-		{fieldHops, &hops}, {fieldIncarnation, &f.Incarnation}, {fieldFingerprint, &r.Fingerprint}, {fieldRevision, &f.Revision},
+		{fieldHops, &hops}, {fieldIncarnation, &f.Incarnation}, {fieldFingerprint, &r.Fingerprint}, {fieldRevision, &f.Revision}, {fieldEra, &f.Era},
 	} {
 		var err error
 		if *n.value, err = parseUintField(fields, n.name); err != nil {
@@ -123,6 +124,7 @@
 	w.flag(fieldWaitWhenSlow, r.WaitWhenSlow)
 	w.flag(fieldKeyGranted, r.KeyGranted)
 	w.number(fieldRevision, f.Revision)
+	w.number(fieldEra, f.Era)
 	ReplaceHeader(h, call.HeaderForward, string(w.query))
 	WriteCallHeaders(h, r, now)
 	if r.Attempt == 0 {
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -21,7 +21,7 @@
 		name := rapid.StringMatching(`[ -~]{0,20}`)
 		sent := ingress.Forwarded{
 			From: name.Draw(t, "from"), Target: name.Draw(t, "target"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
-			Revision: rapid.Uint64().Draw(t, "revision"),
+			Revision: rapid.Uint64().Draw(t, "revision"), Era: rapid.Uint64().Draw(t, "era"),
 		}
 		sent.Request = call.Request{
 			ID: "c1", Service: rapid.StringMatching(`[a-z]{1,9}`).Draw(t, "service"), Host: "host.example", Path: "/p", Method: "GET",
@@ -54,6 +54,7 @@
 		"incarnation":    "i=-1",
 		"fingerprint":    "x=1.5",
 		"revision":       "v=x",
+		"era":            "ve=-1",
 		"latency target": "g=soon",
 		"escape":         "f=%zz",
 	}
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -36,8 +36,8 @@
 	// Work is the duration of the run, converted to the upstream's nominal pace; 0
 	// without a run.
 	Work time.Duration
-	// Revision is the revision of the daemon's copy of the store; 0 without a copy.
-	Revision uint64
+	// Era and Revision are the version of the daemon's copy of the store; 0 without a copy.
+	Era, Revision uint64
 }
 
 // WriteReport sets the report header of a response.
@@ -50,6 +50,7 @@
 	w.number(fieldElapsedUs, uint64(max(r.Elapsed.Microseconds(), 0)))
 	w.number(fieldWorkUs, uint64(max(r.Work.Microseconds(), 0)))
 	w.number(fieldRevision, r.Revision)
+	w.number(fieldEra, r.Era)
 	h.SetBytesV(call.HeaderAnswer, w.query)
 }
 
@@ -75,6 +76,9 @@
 	if r.Revision, err = parseUintField(fields, fieldRevision); err != nil {
 		return Report{}, fmt.Errorf("%w: %w", ErrReport, err)
 	}
+	if r.Era, err = parseUintField(fields, fieldEra); err != nil {
+		return Report{}, fmt.Errorf("%w: %w", ErrReport, err)
+	}
 	return r, nil
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -32,8 +32,8 @@
 	// sender does not know it.
 	Target      string
 	Incarnation uint64
-	// Revision is the revision of the sender's copy of the store; 0 without a copy.
-	Revision uint64
+	// Era and Revision are the version of the sender's copy of the store; 0 without a copy.
+	Era, Revision uint64
 }
 
 // ParseCaller parses a caller's request in its dialect. It leaves out the fields that
@@ -111,7 +111,7 @@
 
 var daemonHeaders = []string{
 	call.HeaderForward, call.HeaderAnswer, call.HeaderCall, call.HeaderOutcome, call.HeaderReason,
-	call.HeaderCopy, call.HeaderPoll,
+	call.HeaderCopy, call.HeaderPoll, call.HeaderEra,
 }
 
 // serviceName returns the service named by a Host header.
--- a/membership/replace.go
+++ b/membership/replace.go
@@ -8,6 +8,8 @@
 	// Incarnation increases with each start of the upstream.
 	Incarnation uint64
 	State       State
+	// Revision is the store's revision of the entry.
+	Revision uint64
 }
 
 // ReplaceAll merges the complete list of a store that does not lag: instances
--- a/node/direct.go
+++ b/node/direct.go
@@ -17,14 +17,28 @@
 	n.view.EndPause()
 	before := n.upstreamState()
 	old := n.recordsByIncarnation()
-	if !n.view.ReplaceAll(m.List, now) {
-		return nil
+	list, out := n.withoutReturned(m, now)
+	if !n.view.ReplaceAll(list, now) {
+		return out
 	}
 	n.forgetGone()
-	out := n.logChanges(old, m.Revision)
+	out = append(out, n.logChanges(old, m.Revision)...)
 	return append(out, n.followUpstream(before, now)...)
 }
 
+// withoutReturned returns the list without the upstreams that came back with an older copy of
+// the store, and logs how many these are when that changes.
+func (n *Node) withoutReturned(m InstancesListed, now time.Time) ([]membership.StoreEntry, []Command) {
+	before := n.returned.HeldBack()
+	list := n.returned.Filter(m.List, m.Era, m.Revision, now)
+	if after := n.returned.HeldBack(); after != before {
+		return list, []Command{LogEntry{Part: "membership", Text: "Upstreams that were leaving or gone when the store returned stay so.", Fields: []any{
+			"upstreams", after, "era", m.Era, "storeRevision", m.Revision,
+		}}}
+	}
+	return list, nil
+}
+
 // recordsByIncarnation returns the record of each instance, keyed by its ID and
 // the incarnation of its upstream.
 func (n *Node) recordsByIncarnation() map[string]membership.Record {
--- a/node/message.go
+++ b/node/message.go
@@ -143,9 +143,10 @@
 	Version uint64
 }
 
-// InstancesListed is the complete list of the store at a revision.
+// InstancesListed is the complete list of the store at a revision of an era.
 type InstancesListed struct {
 	List     []membership.StoreEntry
+	Era      uint64
 	Revision uint64
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -21,12 +21,17 @@
 	Leaving  bool `json:"leaving"`
 	InFlight int  `json:"inFlight"`
 	Queued   int  `json:"queued"`
+	// HeldBack counts the upstreams that were leaving or gone when the store returned from
+	// an older copy, which lists them as live.
+	HeldBack int `json:"heldBack,omitempty"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
 }
 
 // StoreStatus describes a daemon's copy of the users' store.
 type StoreStatus struct {
+	// Era rises each time the store returns from an older copy; 0 if it names none.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// AgeMs is the time since the copy was last confirmed to be current, in
 	// milliseconds.
@@ -62,7 +67,7 @@
 		Documents:     n.Documents(),
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
-		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
+		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued, HeldBack: n.returned.HeldBack(),
 	}
 	return s
 }
