--- a/cmd/pomelodoor/summary.go
+++ b/cmd/pomelodoor/summary.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"pomelodoor.example/pomelodoor/follow"
 	"pomelodoor.example/pomelodoor/node"
 )
 
@@ -25,8 +26,9 @@
 	Ready   int `json:"ready"`
 	// StoreReaders counts the daemons that read the users' store themselves.
 	StoreReaders int `json:"storeReaders"`
-	// Revision is the latest revision of the store that any daemon holds, and Behind
-	// counts those that hold an earlier one.
+	// Era and Revision are the latest version of the store that any daemon holds, and
+	// Behind counts those that hold an earlier one.
+	Era         uint64    `json:"era,omitempty"`
 	Revision    uint64    `json:"revision"`
 	Behind      int       `json:"behind"`
 	OldestAgeMs int64     `json:"oldestAgeMs"`
@@ -45,11 +47,13 @@
 // summarize returns the summary of daemons, the worst outliers first.
 func summarize(statuses map[string]node.Status) summary {
 	s := summary{Daemons: len(statuses), Outliers: []outlier{}}
+	var latest follow.Version
 	for _, status := range statuses {
-		if status.Store != nil {
-			s.Revision = max(s.Revision, status.Store.Revision)
+		if status.Store != nil && heldVersion(status.Store).After(latest) {
+			latest = heldVersion(status.Store)
 		}
 	}
+	s.Era, s.Revision = latest.Era, latest.Revision
 	for name, status := range statuses {
 		if status.Ready {
 			s.Ready++
@@ -63,8 +67,7 @@
 			s.StoreReaders++
 		}
 		s.OldestAgeMs = max(s.OldestAgeMs, status.Store.AgeMs)
-		behind := status.Store.Revision < s.Revision
-		if behind {
+		if latest.After(heldVersion(status.Store)) {
 			s.Behind++
 		}
 		if age := time.Duration(status.Store.AgeMs) * time.Millisecond; age >= oldCopy {
@@ -81,6 +84,11 @@
 	return s
 }
 
+// heldVersion returns the version of a daemon's copy of the store.
+func heldVersion(s *node.StoreStatus) follow.Version {
+	return follow.Version{Era: s.Era, Revision: s.Revision}
+}
+
 // writeSummary writes the summary of daemons as text or JSON.
 func writeSummary(out io.Writer, statuses map[string]node.Status, asJSON bool) error {
 	s := summarize(statuses)
--- a/cmd/pomelodoor/summary_test.go
+++ b/cmd/pomelodoor/summary_test.go
@@ -31,6 +31,12 @@
 			"5 daemons, 4 ready\nstore: revision 9, 3 behind it, oldest copy 61500 ms, read by 2\n" +
 				"e: not ready\nd: copy of the store is 1m1.5s old, revision 7, from store\nc: copy of the store is 12s old, revision 7, from 10.0.0.1:80\n",
 		},
+		"eras come before revisions": {
+			map[string]node.Status{
+				"a": {Ready: true, Store: &node.StoreStatus{Era: 2, Revision: 5, Source: "store"}}, "b": status(true, 9, 20, "store"),
+			}, true,
+			`{"daemons":2,"ready":2,"storeReaders":2,"era":2,"revision":5,"behind":1,"oldestAgeMs":20,"outliers":[],"moreOutliers":0}` + "\n",
+		},
 		"as JSON": {
 			map[string]node.Status{"a": status(true, 9, 20, "store")}, true,
 			`{"daemons":1,"ready":1,"storeReaders":1,"revision":9,"behind":0,"oldestAgeMs":20,"outliers":[],"moreOutliers":0}` + "\n",
--- a/soak/check.go
+++ b/soak/check.go
@@ -92,13 +92,31 @@
 		if newest := h.configs[len(h.configs)-1]; isMovingPath(r.Path) && r.Service != newest.service && h.isRecovered(e.sent) {
 			violated(ConfigInForce, "service %s ran a request that has been routed to %s for %s", r.Service, newest.service, e.sent.Sub(newest.at))
 		}
-		if drainStart, ok := h.drainStarts[r.Worker]; ok && r.StartedAt.Sub(drainStart) > drainNoticeTime && h.noFault(drainStart.Add(-recoveryTime), r.StartedAt) {
+		if drainStart, ok := h.drainStarts[r.Worker]; ok && r.StartedAt.Sub(drainStart) > drainNoticeTime && h.drainHolds(drainStart, r.StartedAt) {
 			violated(NoNewWork, "%s received the request %s after it started draining", r.Worker, r.StartedAt.Sub(drainStart))
 		}
 	}
 	return out
 }
 
+// drainHolds reports whether all daemons must know at a time that an upstream is draining. A
+// return of the store does not make them forget what they knew before, but a daemon that is
+// restarted then does not know it.
+func (h *history) drainHolds(drainStart, at time.Time) bool {
+	if h.noFault(drainStart.Add(-recoveryTime), at) {
+		return true
+	}
+	return h.noFault(drainStart.Add(-recoveryTime), drainStart.Add(drainNoticeTime)) &&
+		h.noFaultExcept(StoreReturn, drainStart, at) && !h.overlaps(DaemonStop, drainStart, at)
+}
+
+// overlaps reports whether an event of a kind was in progress between two times.
+func (h *history) overlaps(kind Kind, from, to time.Time) bool {
+	return slices.ContainsFunc(h.periods, func(p period) bool {
+		return p.event.Kind == kind && p.from.Before(to) && p.to.After(from)
+	})
+}
+
 func isMovingPath(path string) bool { return strings.HasPrefix(path, movingPath) }
 
 // isRouted reports whether some configuration routes the path of a run to its
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -28,6 +28,8 @@
 	// stormChanges is the number of changes in a ConfigStorm, and stormGap the pause
 	// after each.
 	stormChanges = 8
+	// rewriteDelay is the time after a StoreReturn until what was lost is written again.
+	rewriteDelay = 500 * time.Millisecond
 	stormGap     = 60 * time.Millisecond
 )
 
@@ -158,6 +160,12 @@
 	switch e.Kind {
 	case StoreCompaction:
 		f.store.Compact()
+	case StoreReturn:
+		copied := f.store.Snapshot()
+		time.Sleep(e.Duration)
+		lost := f.store.ReturnFrom(copied)
+		time.Sleep(rewriteDelay)
+		f.store.WriteAgain(lost)
 	case ConfigChange:
 		f.changeConfig()
 	case ConfigStorm:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -26,6 +26,9 @@
 	StoreFault Kind = "storeTrouble"
 	// StoreCompaction drops the store's history.
 	StoreCompaction Kind = "storeForgets"
+	// StoreReturn makes the store return from a copy that was taken when the event began.
+	// What was lost is written again a little later.
+	StoreReturn Kind = "storeReturns"
 	// DaemonStop stops one or more daemons at once with SIGTERM, and DaemonKill with
 	// SIGKILL; they are restarted. DaemonPause suspends one with SIGSTOP for the
 	// duration of the event.
@@ -86,6 +89,8 @@
 	quietPeriod = 10 * time.Second
 	// switchesOffOneIn: one plan in this many contains SwitchesOff.
 	switchesOffOneIn = 4
+	// storeReturnOneIn: one plan with faults in this many contains StoreReturn.
+	storeReturnOneIn = 3
 	// plannedOnlyOneIn: one plan in this many contains only planned operations.
 	plannedOnlyOneIn = 4
 )
@@ -127,9 +132,30 @@
 		middle := &events[len(events)/2]
 		*middle = Event{At: middle.At, Kind: SwitchesOff}
 	}
+	if len(choices) == len(eventKinds) {
+		events = insertStoreReturn(events, seed, length)
+	}
 	return events
 }
 
+// insertStoreReturn inserts a StoreReturn into some plans. It is drawn apart from the other
+// events, which stay as they are.
+func insertStoreReturn(events []Event, seed uint64, length time.Duration) []Event {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	if rng.IntN(storeReturnOneIn) != 0 || length <= quietPeriod+maxEventTime {
+		return events
+	}
+	e := Event{
+		At: time.Duration(rng.Int64N(int64(length - quietPeriod - maxEventTime))), Kind: StoreReturn,
+		Duration: time.Duration((0.1 + 0.9*rng.Float64()) * float64(maxEventTime)),
+	}
+	i := slices.IndexFunc(events, func(other Event) bool { return other.At > e.At })
+	if i < 0 {
+		i = len(events)
+	}
+	return slices.Insert(events, i, e)
+}
+
 // drawEvent draws one event of the given kinds.
 func drawEvent(rng *rand.Rand, choices []Kind, machines int, at, length time.Duration) Event {
 	e := Event{At: at, Kind: choices[rng.IntN(len(choices))]}
