--- a/daemon/evacuation.go
+++ b/daemon/evacuation.go
@@ -15,8 +15,8 @@
 type evacuationFeed struct {
 	d    *Daemon
 	sent []string
-	// reported holds the revisions of the odd keys that have been logged.
-	reported map[string]uint64
+	// reported holds the versions of the odd keys that have been logged.
+	reported map[string]follow.Version
 }
 
 func (feed *evacuationFeed) feed(f *follow.Follower) {
@@ -41,10 +41,10 @@
 }
 
 func (feed *evacuationFeed) report(item follow.Item, err error) {
-	if feed.reported[item.Key] >= item.Revision {
+	if !item.Version().After(feed.reported[item.Key]) {
 		return
 	}
-	feed.reported[item.Key] = item.Revision
+	feed.reported[item.Key] = item.Version()
 	feed.d.logFor("store").Warn("Ignored a store key that names no availability zone to evacuate.", "storeRevision", item.Revision, "error", err)
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -31,12 +31,17 @@
 	Cold *admit.ColdStatus `json:"cold,omitempty"`
 	// Shedding is what the gate of the local upstream has refused.
 	Shedding Shedding `json:"shedding"`
+	// HeldBack counts the upstreams that were leaving or gone when the store returned from
+	// an older copy, which lists them as live.
+	HeldBack int `json:"heldBack,omitempty"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
 }
 
 // StoreStatus describes a daemon's copy of the users' store.
 type StoreStatus struct {
+	// Era rises each time the store returns from an older copy; 0 if it names none.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// AgeMs is the time since the copy was last confirmed to be current, in
 	// milliseconds.
@@ -75,6 +80,7 @@
 		EvacuatedZones: slices.Clone(n.EvacuatedZones()), Evacuated: n.Evacuated(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
 		Cold: n.ColdStatus(now), Shedding: n.Shedding(now),
+		HeldBack: n.returned.HeldBack(),
 	}
 	return s
 }
