soak: evacuations of a zone, and the promise that nothing reaches it

Every second plan has an evacuation until the faults end, drawn from its own random numbers, so that the other events of each seed are unchanged. From 5 s on no request may reach the zone, also while daemons restart.

--- a/soak/check.go
+++ b/soak/check.go
@@ -16,6 +16,9 @@
 	// drainNoticeTime is the time in which daemons must stop sending new work to an
 	// upstream that the store lists as draining.
 	drainNoticeTime = 2 * time.Second
+	// evacuationNoticeTime is the time in which requests must stop reaching an evacuated
+	// zone.
+	evacuationNoticeTime = 5 * time.Second
 	// recoveryTime is the time allowed after a fault before its effects count as
 	// violations.
 	recoveryTime = 3 * time.Second
@@ -95,10 +98,37 @@
 		if drainStart, ok := h.drainStarts[r.Worker]; ok && r.StartedAt.Sub(drainStart) > drainNoticeTime && h.noFault(drainStart.Add(-recoveryTime), r.StartedAt) {
 			violated(NoNewWork, "%s received the request %s after it started draining", r.Worker, r.StartedAt.Sub(drainStart))
 		}
+		if p, ok := h.evacuationDuring(r); ok && h.couldLearn(p.from, r.StartedAt) {
+			violated(ZoneEvacuated, "%s received the request %s after its zone was evacuated", r.Worker, r.StartedAt.Sub(p.from))
+		}
 	}
 	return out
 }
 
+// evacuationDuring returns the evacuation of the upstream's zone that should have kept a
+// request from it.
+func (h *history) evacuationDuring(r platformtest.Run) (period, bool) {
+	i := slices.IndexFunc(h.periods, func(p period) bool {
+		return p.event.Kind == Evacuation && p.event.Zone == h.zones[r.Worker] &&
+			r.StartedAt.Sub(p.from) > evacuationNoticeTime && r.StartedAt.Before(p.to)
+	})
+	if i < 0 {
+		return period{}, false
+	}
+	return h.periods[i], true
+}
+
+// couldLearn reports whether no fault between from and to may have kept a daemon from learning
+// what the store holds. Restarts of daemons do not.
+func (h *history) couldLearn(from, to time.Time) bool {
+	return !slices.ContainsFunc(h.periods, func(p period) bool {
+		return slices.Contains(isolatingKinds, p.event.Kind) && p.from.Before(to) && p.to.Add(recoveryTime).After(from)
+	})
+}
+
+// isolatingKinds lists the kinds of faults that may keep a daemon from learning of changes.
+var isolatingKinds = []Kind{StoreFault, DaemonPartition, DaemonPause, LinkFault}
+
 func isMovingPath(path string) bool { return strings.HasPrefix(path, movingPath) }
 
 // isRouted reports whether some configuration routes the path of a run to its
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -67,6 +67,18 @@
 		"old configuration before recovery":    {func(h *history) { h.runs[2].Service, h.faultsEnded = "lookups", atMs(-100) }, Recovers},
 		"new work 3 s after the drain started": {func(h *history) { h.addDrain("i-2", atMs(-3000)) }, NoNewWork},
 		"new work 1 s after the drain started": {func(h *history) { h.addDrain("i-2", atMs(-1000)) }, ""},
+		"run 6 s after the evacuation began":   {func(h *history) { h.addEvacuation("a", -6000, 1000) }, ZoneEvacuated},
+		"run 6 s later with a daemon killed": {func(h *history) {
+			h.addEvacuation("a", -6000, 1000)
+			h.periods = append(h.periods, period{event: Event{Kind: DaemonKill}, from: atMs(-5500), to: atMs(-5500)})
+		}, ZoneEvacuated},
+		"run 6 s later with the store away": {func(h *history) {
+			h.addEvacuation("a", -6000, 1000)
+			h.periods = append(h.periods, period{event: Event{Kind: StoreFault}, from: atMs(-5500), to: atMs(-1000)})
+		}, ""},
+		"run 4 s after the evacuation began": {func(h *history) { h.addEvacuation("a", -4000, 1000) }, ""},
+		"run after the evacuation":           {func(h *history) { h.addEvacuation("a", -9000, 4) }, ""},
+		"run in a zone not evacuated":        {func(h *history) { h.addEvacuation("b", -6000, 1000) }, ""},
 		"run without an answer": {func(h *history) {
 			h.exchanges[2].result = platformtest.Result{Err: errors.New("reset")}
 			h.faultsEnded = atMs(-3020) // only the lookup was sent after recovery
@@ -101,6 +113,12 @@
 	}
 }
 
+// addEvacuation adds an evacuation of a zone. The upstream of the lookup is in zone a.
+func (h *history) addEvacuation(zone string, fromMs, toMs int) {
+	h.addWorker("i-1", "a")
+	h.periods = append(h.periods, period{event: Event{Kind: Evacuation, Zone: zone}, from: atMs(fromMs), to: atMs(toMs)})
+}
+
 // addCrashes adds sends and runs of a crashing request, one every gap.
 func (h *history) addCrashes(times int, gap time.Duration) {
 	for i := range times {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -29,6 +29,8 @@
 	// after each.
 	stormChanges = 8
 	stormGap     = 60 * time.Millisecond
+	// evacuationPrefix is the prefix of the keys of evacuated zones in the store.
+	evacuationPrefix = "op/evacuate/"
 )
 
 // services lists the services, which are assigned to the machines in turn.
@@ -170,6 +172,10 @@
 	case SwitchesOff:
 		f.store.Publish("switches", []byte(`{"kind":"switches","revision":1,"allOff":true}`))
 		f.history.setSwitchedOff(time.Now())
+	case Evacuation:
+		f.store.Put(evacuationPrefix+e.Zone, []byte("{}"))
+		time.Sleep(e.Duration)
+		f.store.Remove(evacuationPrefix + e.Zone)
 	default:
 		var each sync.WaitGroup
 		for _, i := range e.Machines {
--- a/soak/history.go
+++ b/soak/history.go
@@ -38,7 +38,9 @@
 	exchanges []exchange
 	configs   []configuration
 	// drainStarts holds the time at which each upstream was listed as draining, by ID.
-	drainStarts   map[string]time.Time
+	drainStarts map[string]time.Time
+	// zones holds the availability zone of each upstream, by ID.
+	zones         map[string]string
 	switchedOffAt time.Time
 	// periods are the events with the times at which they began and ended.
 	periods []period
@@ -47,7 +49,9 @@
 	runs        []platformtest.Run
 }
 
-func newHistory() *history { return &history{drainStarts: map[string]time.Time{}} }
+func newHistory() *history {
+	return &history{drainStarts: map[string]time.Time{}, zones: map[string]string{}}
+}
 
 func (h *history) addExchange(e exchange) {
 	h.mu.Lock()
@@ -67,6 +71,12 @@
 	h.drainStarts[upstream] = now
 }
 
+func (h *history) addWorker(upstream, zone string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.zones[upstream] = zone
+}
+
 func (h *history) setSwitchedOff(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -93,6 +103,9 @@
 	ConfigInForce Promise = "configInForce"
 	// NoNewWork: a draining upstream gets no new work after a few seconds.
 	NoNewWork Promise = "noNewWork"
+	// ZoneEvacuated: no request reaches an upstream of an evacuated zone, after the bound
+	// for that.
+	ZoneEvacuated Promise = "zoneEvacuated"
 	// NothingLost: without faults, the answer to a request that ran reaches the
 	// caller, also during planned operations.
 	NothingLost Promise = "nothingLost"
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -60,9 +60,14 @@
 	log       *os.File
 }
 
+// zoneCount is the number of availability zones, to which the machines are assigned in turn.
+const zoneCount = 3
+
+func zoneName(number int) string { return string(rune('a' + number)) }
+
 func (f *fleet) newMachine(number int) (*machine, error) {
 	m := &machine{
-		fleet: f, number: number, service: services[number%len(services)], zone: string(rune('a' + number%3)),
+		fleet: f, number: number, service: services[number%len(services)], zone: zoneName(number % zoneCount),
 		publicIP: f.address(publicOctet, number), bindIP: f.address(bindOctet, number),
 	}
 	var err error
@@ -108,6 +113,7 @@
 		return err
 	}
 	m.worker = w
+	m.fleet.history.addWorker(w.ID(), m.zone)
 	m.fleet.store.Put(w.Entry(false))
 	return nil
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -48,6 +49,8 @@
 	ConfigStorm  Kind = "configStorm"
 	// SwitchesOff disables every automatic action until the end of the run.
 	SwitchesOff Kind = "switchesOff"
+	// Evacuation evacuates an availability zone.
+	Evacuation Kind = "evacuation"
 )
 
 // eventKinds lists the kinds to draw from. A kind is drawn in proportion to the number
@@ -61,7 +64,7 @@
 
 // plannedKinds lists the kinds that are planned operations. On their own they must not
 // lose any request.
-var plannedKinds = []Kind{DaemonStop, DaemonReload, UpstreamDrain, ConfigChange, ConfigStorm, SwitchesOff}
+var plannedKinds = []Kind{DaemonStop, DaemonReload, UpstreamDrain, ConfigChange, ConfigStorm, SwitchesOff, Evacuation}
 
 // Event is a fault or a planned operation.
 type Event struct {
@@ -74,6 +77,8 @@
 	Link        standin.Link
 	StoreFault  platformtest.StoreFault
 	WorkerFault platformtest.WorkerFault
+	// Zone is the availability zone of an Evacuation.
+	Zone string
 }
 
 const (
@@ -88,6 +93,9 @@
 	switchesOffOneIn = 4
 	// plannedOnlyOneIn: one plan in this many contains only planned operations.
 	plannedOnlyOneIn = 4
+	// evacuationOneIn: one plan in this many contains an Evacuation, which lasts until
+	// the quiet period.
+	evacuationOneIn = 2
 )
 
 // linkFaults lists the link conditions that a LinkFault draws from.
@@ -112,7 +120,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	choices := eventKinds
 	if rng.IntN(plannedOnlyOneIn) == 0 {
-		choices = plannedKinds[:len(plannedKinds)-1]
+		choices = plannedKinds[:len(plannedKinds)-2]
 	}
 	var events []Event
 	at := time.Duration(0)
@@ -127,6 +135,21 @@
 		middle := &events[len(events)/2]
 		*middle = Event{At: middle.At, Kind: SwitchesOff}
 	}
+	return addEvacuation(events, seed, length)
+}
+
+// addEvacuation adds an Evacuation to some plans. It draws random numbers of its own, so that
+// the other events of a seed stay the same.
+func addEvacuation(events []Event, seed uint64, length time.Duration) []Event {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	window := length - quietPeriod
+	if rng.IntN(evacuationOneIn) > 0 || window <= 0 {
+		return events
+	}
+	at := time.Duration(0.3 * rng.Float64() * float64(window))
+	e := Event{At: at, Duration: window - at, Kind: Evacuation, Zone: zoneName(rng.IntN(zoneCount))}
+	events = append(events, e)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
 
@@ -163,6 +186,8 @@
 		return text + " " + string(e.StoreFault)
 	case UpstreamUnhealthy:
 		return text + " " + string(e.WorkerFault)
+	case Evacuation:
+		return text + " zone " + e.Zone
 	}
 	return text
 }
