Regions of routes: requests run, and bodies are sent, only where a route allows

Operators need routes whose requests and bodies stay in named regions. The routes document gets the field regions (allowed_regions on the users' platform). Candidates, retries, trials and hand-ons are filtered, the daemon beside the instance refuses a request whose route does not allow its region, and what no allowed region can serve is refused at once with the reason wrongRegion.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -43,6 +43,7 @@
 	UpstreamReplaced Reason = "upstreamReplaced"
 	UpstreamShed     Reason = "upstreamShed"
 	WrongIncarnation Reason = "wrongIncarnation"
+	WrongRegion      Reason = "wrongRegion"
 )
 
 // Status returns the HTTP status of a response that pomelodoor generates itself
--- a/config/canonical.go
+++ b/config/canonical.go
@@ -72,7 +72,7 @@
 // order of its items does not matter.
 func isSet(name string) bool {
 	switch name {
-	case "allow", "callers", "instances", "availabilityZones", "evacuated":
+	case "allow", "callers", "instances", "availabilityZones", "evacuated", "regions":
 		return true
 	}
 	return false
--- a/config/routes.go
+++ b/config/routes.go
@@ -41,6 +41,7 @@
 	attempts         int
 	closed           bool
 	weightedServices []WeightedService
+	regions          regions
 }
 
 // WeightedService is a service of a route and its weight.
@@ -97,6 +98,7 @@
 // Routes is the content of a routes document.
 type Routes struct {
 	byHost           map[string][]*Route // longest prefix first
+	byName           map[string]*Route
 	upstreamSettings map[string]UpstreamSettings
 	maxBody          int64
 }
@@ -127,12 +129,15 @@
 	o := r.object(root, "", "kind", "revision", "maxBodyBytes", "services", "routes")
 	parsed := &Routes{
 		byHost:           map[string][]*Route{},
+		byName:           map[string]*Route{},
 		upstreamSettings: r.upstreamSettings(o),
 		maxBody:          int64(o.integer("maxBodyBytes", 0, MaxBodyBytes, defaultMaxBodyBytes)),
 	}
 	items, _ := o.list("routes", unlimited)
 	for i, item := range items {
-		route := r.route(item, joinIndex("routes", i), parsed.upstreamSettings)
+		path := joinIndex("routes", i)
+		route := r.route(item, path, parsed.upstreamSettings)
+		r.checkRegionsByName(item, path, route, parsed.byName)
 		parsed.byHost[route.host] = append(parsed.byHost[route.host], route)
 	}
 	for _, list := range parsed.byHost {
@@ -159,7 +164,7 @@
 }
 
 func (r *reader) route(item *node, path string, settings map[string]UpstreamSettings) *Route {
-	o := r.object(item, path, "name", "host", "prefix", "idempotent", "rank", "timeoutMs", "targetMs", "attempts", "closed", "parts")
+	o := r.object(item, path, "name", "host", "prefix", "idempotent", "rank", "timeoutMs", "targetMs", "attempts", "closed", "parts", "regions")
 	route := &Route{
 		name:          o.text("name", checkRouteName),
 		host:          o.text("host", checkHost),
@@ -170,6 +175,7 @@
 		targetLatency: time.Duration(o.integer("targetMs", 1, maxTimeoutMs, defaultTimeoutMs)) * time.Millisecond,
 		attempts:      int(o.integer("attempts", 1, MaxRouteAttempts, defaultAttempts)),
 		closed:        o.boolean("closed"),
+		regions:       o.regions(),
 	}
 	parts, _ := o.list("parts", unlimited)
 	for i, part := range parts {
--- a/config/zones.go
+++ b/config/zones.go
@@ -45,6 +45,9 @@
 	return &Zones{evacuated: zones}
 }
 
+// ValidZone reports whether a name may be that of an availability zone or a region.
+func ValidZone(name string) bool { return checkZone(name) == "" }
+
 // checkZone accepts the names that other platforms choose, which follow rules of their
 // own.
 func checkZone(text string) string {
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -288,4 +288,5 @@
 	call.UnknownService:   "no service has the name in the Host header",
 	call.UpstreamCrashed:  "the upstream crashed while it ran the request",
 	call.WrongIncarnation: "the instance has been replaced",
+	call.WrongRegion:      "no region that the route allows can serve the request",
 }
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/node"
 )
 
@@ -52,9 +51,7 @@
 	case node.Run:
 		d.runs.put(c.ID, c)
 	case node.Refuse:
-		if c.Reason == call.Evacuated {
-			d.metrics.evacuated.Add(1)
-		}
+		d.metrics.countRefusal(c.Reason)
 		d.runs.put(c.ID, c)
 	case node.HandOn:
 		d.runs.put(c.ID, c)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -116,7 +116,7 @@
 		d.startTask(d.followStore)
 	}
 	d.logFor("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation,
-		"service", settings.Service, "availabilityZone", settings.AvailabilityZone, "listen", settings.Listen, "peer", settings.Peer,
+		"service", settings.Service, "availabilityZone", settings.AvailabilityZone, "region", d.self.Region, "zones", len(settings.regions), "listen", settings.Listen, "peer", settings.Peer,
 		"upstream", settings.Upstream, "bounds", settings.bounds.String())
 	return d, nil
 }
@@ -125,7 +125,7 @@
 	started := time.Now()
 	self := membership.Instance{
 		ID: settings.Instance, Service: settings.Service,
-		AvailabilityZone: settings.AvailabilityZone, Region: settings.Region,
+		AvailabilityZone: settings.AvailabilityZone, Region: settings.regionOf(settings.AvailabilityZone),
 		Listen: settings.Listen, Peer: settings.Peer, Control: settings.Control,
 	}
 	// The wall clock in nanoseconds increases from one incarnation of an
--- a/daemon/evacuation.go
+++ b/daemon/evacuation.go
@@ -57,7 +57,7 @@
 	if !evacuated {
 		return nil, false
 	}
-	d.metrics.evacuated.Add(1)
+	d.metrics.countRefusal(call.Evacuated)
 	outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Evacuated})
 	return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Evacuated}}, true
 }
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -81,10 +81,8 @@
 	if err != nil {
 		feed.d.logFor("store").Warn("Ignored a store entry that does not describe a usable upstream.", "storeRevision", item.Revision, "error", err)
 	}
-	if self := feed.d.self; entry.AvailabilityZone == self.AvailabilityZone {
-		// The store names no regions.
-		entry.Region = self.Region
-	}
+	// The store names no regions.
+	entry.Region = feed.d.settings.regionOf(entry.AvailabilityZone)
 	return decodedUpstream{revision: item.Revision, entry: entry, ok: err == nil}
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,6 +20,8 @@
 	probes   expvar.Int
 	// evacuated counts the requests that this daemon refused because its zone was evacuated.
 	evacuated expvar.Int
+	// wrongRegion counts those that it refused because their route does not allow its region.
+	wrongRegion expvar.Int
 	// copiesBorrowed counts the copies of the store taken over from neighbours,
 	// copiesLent those sent to them.
 	copiesBorrowed, copiesLent expvar.Int
@@ -48,6 +50,7 @@
 	m.vars.Set("handedOn", &m.handedOn)
 	m.vars.Set("probes", &m.probes)
 	m.vars.Set("evacuation", expvar.Func(d.evacuationReport))
+	m.vars.Set("wrongRegionRefused", &m.wrongRegion)
 	m.vars.Set("copiesBorrowed", &m.copiesBorrowed)
 	m.vars.Set("copiesLent", &m.copiesLent)
 	m.vars.Set("storePolls", &m.polls)
@@ -87,3 +90,14 @@
 		m.furtherAttempts.Add(1)
 	}
 }
+
+// countRefusal counts a request that this daemon refused for its upstream, for the reasons
+// that operators set.
+func (m *metrics) countRefusal(reason call.Reason) {
+	switch reason {
+	case call.Evacuated:
+		m.evacuated.Add(1)
+	case call.WrongRegion:
+		m.wrongRegion.Add(1)
+	}
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -36,6 +36,7 @@
 	Seeds            []string `arg:"--seeds,env:POMELODOOR_SEEDS" help:"IP:PORT of the control ports of some daemons, to be asked for their copy of the store while it does not answer"`
 	Ready            string   `arg:"--ready,env:POMELODOOR_READY" help:"IP:PORT of HTTP that answers 200 while this daemon takes callers"`
 	Bounds           string   `arg:"--bounds,env:POMELODOOR_BOUNDS" help:"what the users' platform asks of the process, as a JSON object"`
+	Zones            string   `arg:"--zones,env:POMELODOOR_ZONES" help:"region of each availability zone of the users' platform, as a JSON object"`
 	Assume           []string `arg:"--assume,env:POMELODOOR_ASSUME" help:"actions allowed while the users' store holds no switches document"`
 	FleetSize        int      `arg:"--fleet-size,env:POMELODOOR_FLEET_SIZE" default:"3000" placeholder:"N" help:"most instances that may start at once; the platform is read accordingly seldom until the list is known"`
 	LogLevel         string   `arg:"--log-level,env:POMELODOOR_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
@@ -45,6 +46,8 @@
 	MaxStopSeconds   float64  `arg:"--max-stop-seconds,env:POMELODOOR_MAX_STOP_SECONDS" default:"600" placeholder:"S" help:"most time that a shutdown waits for requests under way"`
 
 	bounds platformBounds
+	// regions holds the region of each zone in Zones.
+	regions map[string]string
 }
 
 // direct reports whether the daemon reads the users' store itself.
@@ -80,6 +83,15 @@
 	return readers, false
 }
 
+// regionOf returns the region of an availability zone, or "" if it is not known. The table of
+// zones is the same for all daemons, so it goes before the region of this one.
+func (s *Settings) regionOf(zone string) string {
+	if region, ok := s.regions[zone]; ok || zone != s.AvailabilityZone {
+		return region
+	}
+	return s.Region
+}
+
 // assumedActions returns the actions of Assume. Check has validated them.
 func (s *Settings) assumedActions() []config.Action {
 	var actions []config.Action
@@ -200,6 +212,7 @@
 			invalid("assume", fmt.Sprintf("%q is not an action", name))
 		}
 	}
+	s.checkZones(invalid)
 	bounds, err := platform.ParseBounds(s.Bounds)
 	if err != nil {
 		invalid("bounds", err.Error())
@@ -207,6 +220,17 @@
 	s.bounds = platformBounds{bounds}
 }
 
+// checkZones checks the table of zones and stores it.
+func (s *Settings) checkZones(invalid func(flag, text string)) {
+	if s.Zones != "" && s.Store == "" {
+		invalid("zones", "requires --store")
+	}
+	var err error
+	if s.regions, err = platform.ParseZones(s.Zones); err != nil {
+		invalid("zones", err.Error())
+	}
+}
+
 // platformBounds converts the bounds of the platform for package node and the
 // log.
 type platformBounds struct{ platform.Bounds }
--- a/node/admission.go
+++ b/node/admission.go
@@ -118,6 +118,8 @@
 		return call.Stale, false
 	case n.leaving(), n.outlastsStop(m.Request, now):
 		return call.Leaving, false
+	case !n.runsInRegion(m.Request):
+		return call.WrongRegion, false
 	case !m.Request.Deadline.After(now):
 		return call.DeadlineExceeded, false
 	}
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/retry"
 )
@@ -12,6 +13,8 @@
 type candidateKey struct {
 	service  string
 	selector string
+	// regions is the key of the regions that the route allows.
+	regions string
 }
 
 // candidateSet is the list of upstreams that one selector allows, at one
@@ -21,15 +24,16 @@
 	evacuations uint64
 	summary     uint64
 	list        []balance.Candidate
-	// evacuated is true if an evacuation excludes some upstreams.
-	evacuated bool
+	// evacuated is true if an evacuation excludes some upstreams, and elsewhere if the route
+	// does not allow the regions of some.
+	evacuated, elsewhere bool
 }
 
 // candidates returns the live upstreams of a service that a selector allows and that are
-// in no evacuated zone. The list is cached until a record, a document or an evacuation
+// in no evacuated zone and in a region that the route, if there is one, allows. The list is cached until a record, a document or an evacuation
 // changes.
-func (n *Node) candidates(service *config.Service, selector *config.Selector) *candidateSet {
-	key := candidateKey{service.Name(), selector.Name()}
+func (n *Node) candidates(service *config.Service, selector *config.Selector, route *config.Route) *candidateSet {
+	key := candidateKey{service.Name(), selector.Name(), regionsKey(route)}
 	set := n.sets[key]
 	generation, summary := n.view.Generation(), n.config.Summary()
 	evacuations := n.evacuation.generation
@@ -41,6 +45,10 @@
 		if !service.Serves(selector, r.Name(), r.AvailabilityZone) {
 			continue
 		}
+		if !allowsRegion(route, r.Region) {
+			set.elsewhere = true
+			continue
+		}
 		if n.evacuation.includes(r.AvailabilityZone) {
 			set.evacuated = true
 			continue
@@ -53,6 +61,17 @@
 	return set
 }
 
+// emptyReason returns why a set without candidates is empty.
+func (s *candidateSet) emptyReason() call.Reason {
+	switch {
+	case s.evacuated:
+		return call.Evacuated
+	case s.elsewhere:
+		return call.WrongRegion
+	}
+	return call.NoUpstream
+}
+
 // picker returns the picker for a service.
 func (n *Node) picker(service *config.Service) *balance.Picker {
 	p := n.pickers[service.Name()]
--- a/node/direct.go
+++ b/node/direct.go
@@ -135,6 +135,7 @@
 		out = append(out, LogEntry{Part: "config", Text: "A document is in force.", Fields: fields})
 		out = append(out, n.applyLimits(now)...)
 		out = append(out, n.applyEvacuations(now)...)
+		out = append(out, n.logRegions(d)...)
 	}
 	return out
 }
--- a/node/evacuation.go
+++ b/node/evacuation.go
@@ -111,7 +111,7 @@
 	if !ok {
 		return
 	}
-	for _, candidate := range n.candidates(c.service, c.selector).list {
+	for _, candidate := range n.candidates(c.service, c.selector, c.route).list {
 		if candidate.Zone == record.AvailabilityZone && !slices.Contains(c.tried, candidate.ID) {
 			c.tried = append(c.tried, candidate.ID)
 		}
--- a/node/handon.go
+++ b/node/handon.go
@@ -17,7 +17,7 @@
 	if !ok || run.request.Hops > 0 || n.view.Stale(now) {
 		return nil, false
 	}
-	list := n.candidates(service, selector).list
+	list := n.candidates(service, selector, n.routeOf(run.request)).list
 	if n.direct() {
 		if run.from == n.self() || n.sameZone(run.from) {
 			// The sender knows the load in this zone as well as this daemon
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -111,9 +111,9 @@
 	if c.request.Keyed() {
 		return n.chooseHome(c)
 	}
-	set := n.candidates(c.service, c.selector)
-	if len(set.list) == 0 && set.evacuated {
-		return "", call.Evacuated, false
+	set := n.candidates(c.service, c.selector, c.route)
+	if len(set.list) == 0 {
+		return "", set.emptyReason(), false
 	}
 	i, ok := n.pick(c.service, set.list, c.tried, n.pickOptions(c, now), now)
 	if !ok {
@@ -140,7 +140,7 @@
 	c.tried = append(c.tried, target)
 	c.open = append(c.open, attempt{number: c.attemptsMade, target: target, zone: record.AvailabilityZone, started: now})
 	picker := n.picker(c.service)
-	choice := picker.Choice(target, len(n.candidates(c.service, c.selector).list), n.expectedWork(c.request, now), now)
+	choice := picker.Choice(target, len(n.candidates(c.service, c.selector, c.route).list), n.expectedWork(c.request, now), now)
 	picker.Started(target, now)
 	forwarded := c.request
 	forwarded.ID = c.request.ID + "-" + strconv.Itoa(c.attemptsMade)
@@ -255,7 +255,7 @@
 			return "", false
 		}
 		c.crashed = true
-		return n.trialUpstream(c.service, c.selector, c.request.Fingerprint)
+		return n.trialUpstream(c.service, c.selector, c.route, c.request.Fingerprint)
 	}
 	if c.crashed {
 		return "", false
@@ -312,7 +312,7 @@
 	if c == nil || len(c.open) != 1 || c.attemptsMade != 1 {
 		return nil
 	}
-	list := n.candidates(c.service, c.selector).list
+	list := n.candidates(c.service, c.selector, c.route).list
 	options := n.pickOptions(c, now)
 	options.NoTrial = true
 	i, ok := n.pick(c.service, list, c.tried, options, now)
--- a/node/key_home.go
+++ b/node/key_home.go
@@ -22,6 +22,9 @@
 	case slices.Contains(c.tried, home.ID):
 		return "", call.KeyHomeGone, false
 	}
+	if record, _ := n.view.Lookup(home.ID); !allowsRegion(c.route, record.Region) {
+		return "", call.WrongRegion, false
+	}
 	return home.ID, "", true
 }
 
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -38,7 +38,7 @@
 	if !ok {
 		return n.refuse(run, call.NotRun, call.NoSelector, now), false
 	}
-	target, ok := n.trialUpstream(service, selector, run.request.Fingerprint)
+	target, ok := n.trialUpstream(service, selector, n.routeOf(run.request), run.request.Fingerprint)
 	if ok && target == n.self() {
 		return nil, true
 	}
@@ -51,9 +51,9 @@
 }
 
 // trialUpstream returns the ID of the only upstream at which a suspect may run.
-func (n *Node) trialUpstream(service *config.Service, selector *config.Selector, fingerprint uint64) (string, bool) {
+func (n *Node) trialUpstream(service *config.Service, selector *config.Selector, route *config.Route, fingerprint uint64) (string, bool) {
 	var ids []string
-	for _, c := range n.candidates(service, selector).list {
+	for _, c := range n.candidates(service, selector, route).list {
 		ids = append(ids, c.ID)
 	}
 	return quarantine.TrialUpstream(fingerprint, ids)
--- a/node/status.go
+++ b/node/status.go
@@ -22,6 +22,8 @@
 	// among them, so that the upstream gets no new requests.
 	EvacuatedZones []string `json:"evacuatedZones"`
 	Evacuated      bool     `json:"evacuated"`
+	// Regions describes where requests of routes with regions may run.
+	Regions RegionStatus `json:"regions"`
 	// Leaving is true once new work is refused.
 	Leaving  bool `json:"leaving"`
 	InFlight int  `json:"inFlight"`
@@ -68,6 +70,7 @@
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
 		EvacuatedZones: slices.Clone(n.EvacuatedZones()), Evacuated: n.Evacuated(),
+		Regions: n.Regions(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
 	}
 	return s
