--- a/config/limits.go
+++ b/config/limits.go
@@ -153,18 +153,18 @@
 	}
 }
 
-// priorityRule assigns a priority to matching callers.
-type priorityRule struct {
+// PriorityRule assigns a priority to matching callers.
+type PriorityRule struct {
 	callers  patterns
 	priority call.Priority
 }
 
-func (r *reader) priorities(root object) []priorityRule {
+func (r *reader) priorities(root object) []PriorityRule {
 	items, _ := root.list("priorities", maxRules)
-	rules := make([]priorityRule, 0, len(items))
+	rules := make([]PriorityRule, 0, len(items))
 	for i, item := range items {
 		o := r.object(item, joinIndex("priorities", i), "callers", "priority")
-		rules = append(rules, priorityRule{
+		rules = append(rules, PriorityRule{
 			callers:  o.patterns("callers"),
 			priority: call.Priority(o.text("priority", checkPriority)),
 		})
--- a/config/routes.go
+++ b/config/routes.go
@@ -41,6 +41,7 @@
 	attempts         int
 	closed           bool
 	weightedServices []WeightedService
+	index            int // position in the document
 }
 
 // WeightedService is a service of a route and its weight.
@@ -137,6 +138,7 @@
 	items, _ := o.list("routes", unlimited)
 	for i, item := range items {
 		route := r.route(item, joinIndex("routes", i), parsed.upstreamSettings)
+		route.index = i
 		parsed.byHost[route.host] = append(parsed.byHost[route.host], route)
 	}
 	for _, list := range parsed.byHost {
--- a/config/service.go
+++ b/config/service.go
@@ -10,16 +10,16 @@
 // concurrent use.
 type Service struct {
 	name         string
-	labelRules   []labelRule
+	labelRules   []LabelRule
 	selectors    []*Selector
-	priorities   []priorityRule
+	priorities   []PriorityRule
 	limits       Limits
 	budgets      Budgets
 	serviceLevel ServiceLevel
 }
 
-// labelRule assigns labels to matching instances.
-type labelRule struct {
+// LabelRule assigns labels to matching instances.
+type LabelRule struct {
 	instances patterns
 	zones     patterns
 	labels    []label
@@ -27,7 +27,7 @@
 
 type label struct{ name, value string }
 
-func (l labelRule) match(instance, zone string) bool {
+func (l LabelRule) match(instance, zone string) bool {
 	return l.instances.match(instance) && l.zones.match(zone)
 }
 
@@ -122,7 +122,7 @@
 
 // setsLabel reports whether any rule can assign l to an instance.
 func (s *Service) setsLabel(l label) bool {
-	return slices.ContainsFunc(s.labelRules, func(rule labelRule) bool {
+	return slices.ContainsFunc(s.labelRules, func(rule LabelRule) bool {
 		return slices.Contains(rule.labels, l)
 	})
 }
--- a/config/service_parse.go
+++ b/config/service_parse.go
@@ -28,16 +28,16 @@
 	return s
 }
 
-func (r *reader) labelRules(root object) []labelRule {
+func (r *reader) labelRules(root object) []LabelRule {
 	items, _ := root.list("labels", maxRules)
-	rules := make([]labelRule, 0, len(items))
+	rules := make([]LabelRule, 0, len(items))
 	for i, item := range items {
 		o := r.object(item, joinIndex("labels", i), "instances", "availabilityZones", "set")
 		set := o.labels("set")
 		if n, ok := o.field("set"); !ok || n.kind == objectNode && len(n.members) == 0 {
 			r.fault(item.line, o.fieldPath("set"), "sets no label")
 		}
-		rules = append(rules, labelRule{
+		rules = append(rules, LabelRule{
 			instances: o.patterns("instances"),
 			zones:     o.patterns("availabilityZones"),
 			labels:    set,
