--- a/cmd/pomelodoor/main.go
+++ b/cmd/pomelodoor/main.go
@@ -23,8 +23,10 @@
 
 // The exit codes.
 const (
-	exitOK    = 0
+	exitOK = 0
+	// exitFault means that a command found faults; check exits with it for warnings only.
 	exitFault = 1
+	// exitUsage means wrong arguments or settings, or for check errors in documents.
 	exitUsage = 2
 )
 
@@ -101,7 +103,9 @@
 		return exitOK
 	case errors.Is(err, errFault):
 		return exitFault
-	case errors.Is(err, daemon.ErrSettings):
+	case errors.Is(err, errRefused):
+		return exitUsage
+	case errors.Is(err, daemon.ErrSettings), errors.Is(err, errCheck):
 		_, _ = fmt.Fprintf(errOut, "pomelodoor: %v\n", err)
 		return exitUsage
 	}
--- a/cmd/pomelodoor/status.go
+++ b/cmd/pomelodoor/status.go
@@ -140,7 +140,11 @@
 
 // getJSON decodes the JSON response of a daemon's admin port.
 func getJSON(address, path string, v any) error {
-	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
+	return getJSONWithin(address, path, adminTimeout, v)
+}
+
+func getJSONWithin(address, path string, timeout time.Duration, v any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var req fasthttp.Request
 	var resp fasthttp.Response
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -28,7 +28,7 @@
 	Listen           string   `arg:"--listen,required,env:POMELODOOR_LISTEN" help:"IP:PORT of HTTP for callers"`
 	Peer             string   `arg:"--peer,required,env:POMELODOOR_PEER" help:"IP:PORT of HTTP for other daemons"`
 	Control          string   `arg:"--control,required,env:POMELODOOR_CONTROL" help:"IP:PORT of jsonrpc2 for other daemons"`
-	Admin            string   `arg:"--admin,required,env:POMELODOOR_ADMIN" help:"IP:PORT of HTTP for operators: /status and /debug/vars"`
+	Admin            string   `arg:"--admin,required,env:POMELODOOR_ADMIN" help:"IP:PORT of HTTP for operators: /status, /documents and /debug/vars"`
 	Bind             string   `arg:"--bind,env:POMELODOOR_BIND" help:"IP to open the ports at, and to come from to other daemons, where it differs from that by which others come"`
 	Upstream         string   `arg:"--upstream,required,env:POMELODOOR_UPSTREAM" help:"IP:PORT of the upstream beside this daemon"`
 	Platform         []string `arg:"--platform,env:POMELODOOR_PLATFORM" help:"IP:PORT of the registry of documents and instances; several are tried in turn"`
--- a/node/status.go
+++ b/node/status.go
@@ -88,3 +88,6 @@
 	}
 	return list
 }
+
+// ConfigDocuments returns the documents in force with their content, sorted by key.
+func (n *Node) ConfigDocuments() []config.Document { return n.config.Documents() }
