--- a/config/routes.go
+++ b/config/routes.go
@@ -42,6 +42,7 @@
 	closed           bool
 	weightedServices []WeightedService
 	regions          regions
+	index            int // position in the document
 }
 
 // WeightedService is a service of a route and its weight.
@@ -142,6 +143,7 @@
 		path := joinIndex("routes", i)
 		route := r.route(item, path, parsed.upstreamSettings)
 		r.checkRegionsByName(item, path, route, parsed.byName)
+		route.index = i
 		parsed.byHost[route.host] = append(parsed.byHost[route.host], route)
 	}
 	for _, list := range parsed.byHost {
