balance: calls leave their region only if they would miss their target there

Cause: zones of another region were compared like zones nearby, by predicted time alone. A call crossed a link of 30 ms, which all calls share, to gain some milliseconds, and with two random candidates outside the zone the nearer zone of the region was often not among them. Change: three localities; two candidates of each are compared, and another region is used if the call would miss its target in its own. Without known regions the choice is as before.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -16,8 +16,8 @@
 	trialDue                // due for a trial call
 )
 
-// bestCandidate is the best candidate found so far, either in the daemon's own
-// availability zone or outside it.
+// bestCandidate is the best candidate found so far in one locality: the daemon's own
+// availability zone, the rest of its region, or other regions.
 type bestCandidate struct {
 	index int
 	grade grade
@@ -41,6 +41,8 @@
 	now        time.Time
 	sameZone   bestCandidate
 	otherZones bestCandidate
+	// otherRegions stays excluded if all candidates are in one region.
+	otherRegions bestCandidate
 }
 
 // Pick chooses one of the candidates, except those named in avoid. ok is false
@@ -55,7 +57,7 @@
 		return p.roundRobin(&s)
 	}
 	p.sample(&s)
-	if s.sameZone.grade < usable && s.otherZones.grade < usable {
+	if s.sameZone.grade < usable && s.otherZones.grade < usable && s.otherRegions.grade < usable {
 		p.scan(&s)
 	}
 	return s.choose()
@@ -68,21 +70,16 @@
 		p.scan(s)
 		return
 	}
-	sameZoneLeft, otherZonesLeft := choices, choices
+	left := choicesLeft{sameZone: choices, otherZones: choices, otherRegions: choices}
 	if p.config.SameZoneChoices > choices {
-		sameZoneLeft = 0
+		left.sameZone = 0
 		p.scanSameZone(s)
 	}
-	for draws := drawsPerChoice * choices; draws > 0 && sameZoneLeft+otherZonesLeft > 0; draws-- {
+	for draws := drawsPerChoice * choices; draws > 0 && left.any(); draws-- {
 		i := int(p.config.Rand() % uint64(n))
-		if s.candidates[i].Zone == p.config.SelfZone {
-			if sameZoneLeft > 0 {
-				p.consider(s, i)
-				sameZoneLeft--
-			}
-		} else if otherZonesLeft > 0 {
+		if count := left.at(p.locality(&s.candidates[i])); *count > 0 {
 			p.consider(s, i)
-			otherZonesLeft--
+			*count--
 		}
 	}
 }
@@ -137,14 +134,19 @@
 	}
 	delay := u.linkDelayCost(s.now)
 	cost, mean = cost+delay, mean+delay
-	if candidate.Zone == p.config.SelfZone {
+	at := p.locality(candidate)
+	if at == sameZone {
 		s.sameZone.offer(i, g, cost, mean)
 		return
 	}
 	// Trials are left to the daemons of that availability zone, unless a call
 	// goes there anyway.
 	link := float64(p.config.LinkCost(candidate.Zone) + s.options.ExtraLinkCost)
-	s.otherZones.offer(i, min(g, usable), cost+link, mean+link)
+	best := &s.otherZones
+	if at == otherRegion {
+		best = &s.otherRegions
+	}
+	best.offer(i, min(g, usable), cost+link, mean+link)
 }
 
 // upstreamOf returns the state of a candidate, reset if it is a new incarnation.
@@ -206,19 +208,27 @@
 	return share < 1 && float64(p.config.Rand()>>11)/(1<<53) >= share
 }
 
-// choose compares the best candidate of the daemon's availability zone with the
-// best outside it.
+// choose compares the best candidates of the localities, from the nearest to the
+// farthest. Links between regions are slow and shared by all calls, so a call leaves its
+// region only if it would miss its target there.
 func (s *selection) choose() (index int, ok bool) {
-	same, other := s.sameZone, s.otherZones
+	best := s.nearest(s.sameZone, s.otherZones)
+	if s.options.TimeToTarget <= 0 || best.mean > float64(s.options.TimeToTarget) || best.grade < usable {
+		best = s.nearest(best, s.otherRegions)
+	}
+	return best.index, best.grade != excluded
+}
+
+// nearest returns the nearer candidate, or the other one if that is better by its grade
+// or, where calls may spill over, by its cost.
+func (s *selection) nearest(near, far bestCandidate) bestCandidate {
 	switch {
-	case same.grade == excluded:
-		return other.index, other.grade != excluded
-	case other.grade > same.grade:
-		return other.index, true
-	case other.grade < same.grade || !s.options.SpillOver || same.mean <= other.mean:
-		return same.index, true
+	case near.grade == excluded, far.grade > near.grade:
+		return far
+	case far.grade < near.grade || !s.options.SpillOver || near.mean <= far.mean:
+		return near
 	}
-	return other.index, true
+	return far
 }
 
 // roundRobin returns the next candidate that may be chosen.
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -22,8 +22,10 @@
 
 // Config describes a Picker.
 type Config struct {
-	// SelfZone is the availability zone of the daemon.
-	SelfZone string
+	// SelfZone is the availability zone of the daemon, and SelfRegion its region, if
+	// known.
+	SelfZone   string
+	SelfRegion string
 	// LinkCost returns the extra round-trip time to an availability zone; nil
 	// means none.
 	LinkCost func(zone string) time.Duration
@@ -44,8 +46,9 @@
 type Candidate struct {
 	// ID names the instance.
 	ID string
-	// Zone is its availability zone.
-	Zone string
+	// Zone is its availability zone, and Region its region, if known.
+	Zone   string
+	Region string
 	// Incarnation distinguishes successive instances with the same ID.
 	Incarnation uint64
 }
@@ -71,6 +74,9 @@
 	// ExtraLinkCost is added to the link cost outside the daemon's availability
 	// zone, for costs of this call there other than time.
 	ExtraLinkCost time.Duration
+	// TimeToTarget is the time that is left until the call misses its target; 0 if it
+	// has none. A call that can meet it stays in the daemon's region.
+	TimeToTarget time.Duration
 	// NoTrial is true for a call that must not be used to test whether an ejected
 	// upstream has recovered.
 	NoTrial bool
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/retry"
 )
@@ -35,7 +36,7 @@
 	for _, r := range n.view.Serving(service.Name()) {
 		if service.Serves(selector, r.Name(), r.AvailabilityZone) {
 			set.list = append(set.list, balance.Candidate{
-				ID: r.ID, Zone: r.AvailabilityZone, Incarnation: r.Incarnation,
+				ID: r.ID, Zone: r.AvailabilityZone, Region: r.Region, Incarnation: r.Incarnation,
 			})
 		}
 	}
@@ -49,6 +50,7 @@
 	if p == nil {
 		p = balance.New(balance.Config{
 			SelfZone:        n.view.Self().AvailabilityZone,
+			SelfRegion:      n.view.Self().Region,
 			LinkCost:        n.links.cost,
 			Rand:            n.cfg.Rand,
 			SameZoneChoices: n.sameZoneChoices(),
@@ -124,5 +126,15 @@
 		ExpectedWork:  n.expectedWork(c.request, now),
 		ExtraLinkCost: time.Duration(c.request.BodyBytes) * costPerKilobyte / 1024,
 		NoTrial:       !c.request.Idempotent(),
+		TimeToTarget:  timeToTarget(c.request, now),
 	}
 }
+
+// timeToTarget returns the time until a request misses its target, at least 1 ns, or 0 if
+// it has no target.
+func timeToTarget(r call.Request, now time.Time) time.Duration {
+	if r.Target.IsZero() {
+		return 0
+	}
+	return max(r.Target.Sub(now), 1)
+}
