--- a/node/candidates.go
+++ b/node/candidates.go
@@ -29,9 +29,9 @@
 	evacuated, elsewhere bool
 }
 
-// candidates returns the live upstreams of a service that a selector allows and that are
-// in no evacuated zone and in a region that the route, if there is one, allows. The list is cached until a record, a document or an evacuation
-// changes.
+// candidates returns the live upstreams of a service that a selector allows, that are in no
+// evacuated zone, and in a region that the route, if there is one, allows. The list is cached
+// until a record, a document or an evacuation changes.
 func (n *Node) candidates(service *config.Service, selector *config.Selector, route *config.Route) *candidateSet {
 	key := candidateKey{service.Name(), selector.Name(), regionsKey(route)}
 	set := n.sets[key]
@@ -54,7 +54,7 @@
 			continue
 		}
 		set.list = append(set.list, balance.Candidate{
-			ID: r.ID, Zone: r.AvailabilityZone, Incarnation: r.Incarnation,
+			ID: r.ID, Zone: r.AvailabilityZone, Region: r.Region, Incarnation: r.Incarnation,
 		})
 	}
 	n.sets[key] = set
@@ -78,6 +78,7 @@
 	if p == nil {
 		p = balance.New(balance.Config{
 			SelfZone:        n.view.Self().AvailabilityZone,
+			SelfRegion:      n.view.Self().Region,
 			LinkCost:        n.links.cost,
 			Rand:            n.cfg.Rand,
 			SameZoneChoices: n.sameZoneChoices(),
@@ -155,5 +156,15 @@
 		ExpectedWork:  n.expectedWork(c.request, now),
 		ExtraLinkCost: time.Duration(c.request.BodyBytes) * costPerKilobyte / 1024,
 		NoTrial:       !c.request.Idempotent(),
+		TimeToTarget:  timeToTarget(c.request, now),
 	}
 }
+
+// timeToTarget returns the time until a request misses its target, at least 1 ns, or 0 if
+// it has no target.
+func timeToTarget(r call.Request, now time.Time) time.Duration {
+	if r.Target.IsZero() {
+		return 0
+	}
+	return max(r.Target.Sub(now), 1)
+}
