--- a/daemon/evacuation.go
+++ b/daemon/evacuation.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strings"
 
-	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/follow"
 	"pomelodoor.example/pomelodoor/node"
 	"pomelodoor.example/pomelodoor/platform"
@@ -48,18 +47,12 @@
 	feed.d.logFor("store").Warn("Ignored a store key that names no availability zone to evacuate.", "storeRevision", item.Revision, "error", err)
 }
 
-// refuseEvacuated ends a run that has not been sent yet, and returns false if it may be sent.
-// The body of a request may arrive long after the decision to run it.
-func (d *Daemon) refuseEvacuated(request call.Request) (*answer, bool) {
+// evacuated reports whether the zone of the local upstream is evacuated. It is asked again
+// before a request is sent, as its body may arrive long after the decision to run it.
+func (d *Daemon) evacuated() bool {
 	d.mu.Lock()
-	evacuated := d.node.Evacuated()
-	d.mu.Unlock()
-	if !evacuated {
-		return nil, false
-	}
-	d.metrics.countRefusal(call.Evacuated)
-	outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Evacuated})
-	return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Evacuated}}, true
+	defer d.mu.Unlock()
+	return d.node.Evacuated()
 }
 
 // evacuationReport is the state of evacuations in the metrics.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -229,19 +229,10 @@
 func (d *Daemon) run(ctx context.Context, r node.Run, request call.Request, req *fasthttp.Request) *answer {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	start := time.Now()
-	if !r.SendBefore.IsZero() && !start.Before(r.SendBefore) {
+	if reason, refused := d.refusedBeforeSend(ctx, r, start); refused {
 		cancel()
-		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
-		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Stale}}
-	}
-	if ingress.CallerLeft(ctx, start) {
-		cancel()
-		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Cancelled})
-		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Cancelled}}
-	}
-	if a, refused := d.refuseEvacuated(request); refused {
-		cancel()
-		return a
+		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: reason})
+		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
 	}
 	request.UpstreamIncarnation = r.UpstreamIncarnation
 	d.dialect.WriteUpstreamHeaders(&req.Header, request, start)
@@ -256,17 +247,9 @@
 		}
 	}
 	if err != nil {
-		outcome, reason := classifyFailure(ctx, err)
-		crashed := errors.Is(err, exchange.ErrResponseLost) && ctx.Err() == nil && !errors.Is(err, exchange.ErrBodySource) &&
-			!errors.Is(err, exchange.ErrInvalidStatus) &&
-			d.upstreamDown()
-		if crashed {
-			reason = call.UpstreamCrashed
-		}
-		cancel()
+		defer cancel()
 		fasthttp.ReleaseResponse(resp)
-		outcome = d.endRun(request, node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
-		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
+		return d.runFailed(ctx, request, err, time.Since(start))
 	}
 	report := d.dialect.ParseResponse(resp)
 	if report.NotRun {
@@ -298,6 +281,34 @@
 	return a
 }
 
+// refusedBeforeSend reports whether, and why, a request that may run is not sent to the
+// local upstream after all.
+func (d *Daemon) refusedBeforeSend(ctx context.Context, r node.Run, now time.Time) (call.Reason, bool) {
+	switch {
+	case !r.SendBefore.IsZero() && !now.Before(r.SendBefore):
+		return call.Stale, true
+	case ingress.CallerLeft(ctx, now):
+		return call.Cancelled, true
+	case d.evacuated():
+		d.metrics.evacuated.Add(1)
+		return call.Evacuated, true
+	}
+	return "", false
+}
+
+// runFailed ends a run that has brought no response.
+func (d *Daemon) runFailed(ctx context.Context, request call.Request, err error, took time.Duration) *answer {
+	outcome, reason := classifyFailure(ctx, err)
+	mayHaveCrashed := errors.Is(err, exchange.ErrResponseLost) && ctx.Err() == nil &&
+		!errors.Is(err, exchange.ErrBodySource) && !errors.Is(err, exchange.ErrInvalidStatus)
+	crashed := mayHaveCrashed && d.upstreamDown()
+	if crashed {
+		reason = call.UpstreamCrashed
+	}
+	outcome = d.endRun(request, node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: took, Crashed: crashed})
+	return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
+}
+
 // shed ends a request that the upstream reports as not run.
 func (d *Daemon) shed(request call.Request, resp *fasthttp.Response, report ingress.UpstreamReport, took time.Duration) *answer {
 	reason := call.UpstreamShed
