--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -56,9 +56,6 @@
 	env      map[string]string
 }
 
-// region is the region of all zones.
-const region = "prairie"
-
 // layout lists the services of the machines of each zone, as in bfl-prairie.
 var layout = []struct {
 	zone     string
@@ -151,20 +148,12 @@
 	if err != nil {
 		panic(err)
 	}
-	regions := map[string]string{}
-	for _, z := range layout {
-		regions[z.zone] = region
-	}
-	zones, err := json.Marshal(regions)
-	if err != nil {
-		panic(err)
-	}
 	return strings.NewReplacer(
-		"{{node_name}}", m.name, "{{service}}", m.service, "{{zone}}", m.zone, "{{region}}", region, "{{ip}}", m.ip,
+		"{{node_name}}", m.name, "{{service}}", m.service, "{{zone}}", m.zone, "{{region}}", "prairie", "{{ip}}", m.ip,
 		"{{listen.outbound}}", m.address(portOutbound), "{{listen.inbound}}", m.address(portInbound),
 		"{{listen.control}}", m.address(portControl), "{{listen.ready}}", m.address(portReady),
 		"{{app_addr}}", m.address(portWorker), "{{platform.address}}", f.store.address,
-		"{{bounds}}", string(bounds), "{{zones}}", string(zones), "{{seeds}}", strings.Join(f.seeds, ","),
+		"{{bounds}}", string(bounds), "{{seeds}}", strings.Join(f.seeds, ","),
 	).Replace(text)
 }
 
