cmd/pomelodoor: a placeholder that the platform has not rendered leaves a setting at its default

Cause: a platform that knows no table of zones leaves {{zones}} as it is, and the daemon did not start. Change: variables whose value is a placeholder are unset before the settings are parsed.

--- a/cmd/pomelodoor/main.go
+++ b/cmd/pomelodoor/main.go
@@ -50,6 +50,7 @@
 }
 
 func main() {
+	unsetPlaceholders()
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
