--- a/daemon/evacuation.go
+++ b/daemon/evacuation.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strings"
 
-	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/follow"
 	"pomelodoor.example/pomelodoor/node"
 	"pomelodoor.example/pomelodoor/platform"
@@ -15,8 +14,8 @@
 type evacuationFeed struct {
 	d    *Daemon
 	sent []string
-	// reported holds the revisions of the odd keys that have been logged.
-	reported map[string]uint64
+	// reported holds the versions of the odd keys that have been logged.
+	reported map[string]follow.Version
 }
 
 func (feed *evacuationFeed) feed(f *follow.Follower) {
@@ -41,25 +40,19 @@
 }
 
 func (feed *evacuationFeed) report(item follow.Item, err error) {
-	if feed.reported[item.Key] >= item.Revision {
+	if !item.Version().After(feed.reported[item.Key]) {
 		return
 	}
-	feed.reported[item.Key] = item.Revision
+	feed.reported[item.Key] = item.Version()
 	feed.d.logFor("store").Warn("Ignored a store key that names no availability zone to evacuate.", "storeRevision", item.Revision, "error", err)
 }
 
-// refuseEvacuated ends a run that has not been sent yet, and returns false if it may be sent.
-// The body of a request may arrive long after the decision to run it.
-func (d *Daemon) refuseEvacuated(request call.Request) (*answer, bool) {
+// evacuated reports whether the zone of the local upstream is evacuated. It is asked again
+// before a request is sent, as its body may arrive long after the decision to run it.
+func (d *Daemon) evacuated() bool {
 	d.mu.Lock()
-	evacuated := d.node.Evacuated()
-	d.mu.Unlock()
-	if !evacuated {
-		return nil, false
-	}
-	d.metrics.evacuated.Add(1)
-	outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Evacuated})
-	return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Evacuated}}, true
+	defer d.mu.Unlock()
+	return d.node.Evacuated()
 }
 
 // evacuationReport is the state of evacuations in the metrics.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -21,9 +21,13 @@
 	probes   expvar.Int
 	// evacuated counts the requests that this daemon refused because its zone was evacuated.
 	evacuated expvar.Int
+	// wrongRegion counts those that it refused because their route does not allow its region.
+	wrongRegion expvar.Int
 	// copiesBorrowed counts the copies of the store taken over from neighbours,
 	// copiesLent those sent to them.
 	copiesBorrowed, copiesLent expvar.Int
+	// storeReturns counts the returns of the store from an older copy.
+	storeReturns expvar.Int
 	// polls counts the answers of other daemons that read the store for this one.
 	polls expvar.Int
 	// invalidResponses counts responses of the upstream with an invalid status.
@@ -45,6 +49,7 @@
 		return map[string]any{"state": l.State, "running": l.InFlight, "queued": l.Queued, "slots": l.Slots, "pace": l.Pace}
 	}))
 	m.vars.Set("cold", expvar.Func(func() any { return d.coldStatus() }))
+	m.vars.Set("shedding", expvar.Func(func() any { return d.shedding() }))
 	m.vars.Set("outcomes", m.outcomes)
 	m.vars.Set("reasons", m.reasons)
 	m.vars.Set("attempts", &m.attempts)
@@ -52,10 +57,12 @@
 	m.vars.Set("handedOn", &m.handedOn)
 	m.vars.Set("probes", &m.probes)
 	m.vars.Set("evacuation", expvar.Func(d.evacuationReport))
+	m.vars.Set("wrongRegionRefused", &m.wrongRegion)
 	m.vars.Set("copiesBorrowed", &m.copiesBorrowed)
 	m.vars.Set("copiesLent", &m.copiesLent)
 	m.vars.Set("storePolls", &m.polls)
 	m.vars.Set("invalidResponses", &m.invalidResponses)
+	m.vars.Set("storeReturns", &m.storeReturns)
 	m.vars.Set("storeCopy", expvar.Func(func() any { return d.storeCopy.status(time.Now()) }))
 	m.vars.Set("controlBytesOut", expvar.Func(func() any { return d.control.BytesOut() }))
 	m.vars.Set("controlBytesIn", expvar.Func(func() any { return d.control.BytesIn() }))
@@ -99,3 +106,14 @@
 		m.furtherAttempts.Add(1)
 	}
 }
+
+// countRefusal counts a request that this daemon refused for its upstream, for the reasons
+// that operators set.
+func (m *metrics) countRefusal(reason call.Reason) {
+	switch reason {
+	case call.Evacuated:
+		m.evacuated.Add(1)
+	case call.WrongRegion:
+		m.wrongRegion.Add(1)
+	}
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -11,6 +11,7 @@
 	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/follow"
 	"pomelodoor.example/pomelodoor/ingress"
 	"pomelodoor.example/pomelodoor/node"
 )
@@ -36,7 +37,7 @@
 		d.refuseRequest(ctx, err)
 		return
 	}
-	d.observeRevision(f.Revision, f.From)
+	d.observeVersion(follow.Version{Era: f.Era, Revision: f.Revision}, f.From)
 	body, err := ingress.ReadBody(ctx, maxForwardedBodyBytes)
 	if err != nil {
 		d.refuseRequest(ctx, err)
@@ -78,9 +79,10 @@
 
 // writeReport adds the report that only daemons send to each other.
 func (d *Daemon) writeReport(ctx *fasthttp.RequestCtx, a *answer, since time.Time) {
+	held := d.storeCopy.version()
 	ingress.WriteReport(&ctx.Response.Header, ingress.Report{
 		From: d.self.ID, Load: a.result.Load, HasLoad: a.result.HasLoad,
-		Elapsed: time.Since(since), Work: a.result.Work, Revision: d.storeCopy.revision.Load(),
+		Elapsed: time.Since(since), Work: a.result.Work, Era: held.Era, Revision: held.Revision,
 	})
 }
 
@@ -119,6 +121,13 @@
 	return d.node.Load(time.Now())
 }
 
+// shedding returns what the gate of the local upstream has refused.
+func (d *Daemon) shedding() node.Shedding {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Shedding(time.Now())
+}
+
 // withLoad adds the load of the local upstream to an answer.
 func (d *Daemon) withLoad(a *answer) *answer {
 	a.result.Load, a.result.HasLoad = d.load(), true
@@ -220,19 +229,10 @@
 func (d *Daemon) run(ctx context.Context, r node.Run, request call.Request, req *fasthttp.Request) *answer {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	start := time.Now()
-	if !r.SendBefore.IsZero() && !start.Before(r.SendBefore) {
-		cancel()
-		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Stale})
-		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Stale}}
-	}
-	if ingress.CallerLeft(ctx, start) {
-		cancel()
-		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: call.Cancelled})
-		return &answer{result: node.Attempt{Outcome: outcome, Reason: call.Cancelled}}
-	}
-	if a, refused := d.refuseEvacuated(request); refused {
+	if reason, refused := d.refusedBeforeSend(ctx, r, start); refused {
 		cancel()
-		return a
+		outcome := d.endRun(request, node.RunEnded{ID: request.ID, Outcome: call.NotRun, Reason: reason})
+		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
 	}
 	request.UpstreamIncarnation = r.UpstreamIncarnation
 	d.dialect.WriteUpstreamHeaders(&req.Header, request, start)
@@ -247,17 +247,9 @@
 		}
 	}
 	if err != nil {
-		outcome, reason := classifyFailure(ctx, err)
-		crashed := errors.Is(err, exchange.ErrResponseLost) && ctx.Err() == nil && !errors.Is(err, exchange.ErrBodySource) &&
-			!errors.Is(err, exchange.ErrInvalidStatus) &&
-			d.upstreamDown()
-		if crashed {
-			reason = call.UpstreamCrashed
-		}
-		cancel()
+		defer cancel()
 		fasthttp.ReleaseResponse(resp)
-		outcome = d.endRun(request, node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: time.Since(start), Crashed: crashed})
-		return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
+		return d.runFailed(ctx, request, err, time.Since(start))
 	}
 	report := d.dialect.ParseResponse(resp)
 	if report.NotRun {
@@ -289,6 +281,34 @@
 	return a
 }
 
+// refusedBeforeSend reports whether, and why, a request that may run is not sent to the
+// local upstream after all.
+func (d *Daemon) refusedBeforeSend(ctx context.Context, r node.Run, now time.Time) (call.Reason, bool) {
+	switch {
+	case !r.SendBefore.IsZero() && !now.Before(r.SendBefore):
+		return call.Stale, true
+	case ingress.CallerLeft(ctx, now):
+		return call.Cancelled, true
+	case d.evacuated():
+		d.metrics.evacuated.Add(1)
+		return call.Evacuated, true
+	}
+	return "", false
+}
+
+// runFailed ends a run that has brought no response.
+func (d *Daemon) runFailed(ctx context.Context, request call.Request, err error, took time.Duration) *answer {
+	outcome, reason := classifyFailure(ctx, err)
+	mayHaveCrashed := errors.Is(err, exchange.ErrResponseLost) && ctx.Err() == nil &&
+		!errors.Is(err, exchange.ErrBodySource) && !errors.Is(err, exchange.ErrInvalidStatus)
+	crashed := mayHaveCrashed && d.upstreamDown()
+	if crashed {
+		reason = call.UpstreamCrashed
+	}
+	outcome = d.endRun(request, node.RunEnded{ID: request.ID, Outcome: outcome, Reason: reason, Latency: took, Crashed: crashed})
+	return &answer{result: node.Attempt{Outcome: outcome, Reason: reason}}
+}
+
 // shed ends a request that the upstream reports as not run.
 func (d *Daemon) shed(request call.Request, resp *fasthttp.Response, report ingress.UpstreamReport, took time.Duration) *answer {
 	reason := call.UpstreamShed
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -28,6 +28,8 @@
 	fieldWaitWhenSlow    = "w"
 	fieldKeyGranted      = "k"
 	fieldRevision        = "v"
+	fieldNested          = "c"
+	fieldEra             = "ve"
 )
 
 // ParseForwarded reads a request that another daemon has forwarded. dialect is that of
@@ -65,6 +67,7 @@
 	r.Route = fields.Get(fieldRoute)
 	r.WaitWhenSlow = fields.Has(fieldWaitWhenSlow)
 	r.KeyGranted = fields.Has(fieldKeyGranted)
+	r.Nested = fields.Has(fieldNested)
 	if fields.Has(fieldLatencyTargetMs) {
 		ms, err := strconv.ParseInt(fields.Get(fieldLatencyTargetMs), 10, 64)
 		if err != nil {
@@ -77,7 +80,7 @@
 		name  string
 		value *uint64
 	}{
-		{fieldHops, &hops}, {fieldIncarnation, &f.Incarnation}, {fieldFingerprint, &r.Fingerprint}, {fieldRevision, &f.Revision},
+		{fieldHops, &hops}, {fieldIncarnation, &f.Incarnation}, {fieldFingerprint, &r.Fingerprint}, {fieldRevision, &f.Revision}, {fieldEra, &f.Era},
 	} {
 		var err error
 		if *n.value, err = parseUintField(fields, n.name); err != nil {
@@ -122,7 +125,9 @@
 	}
 	w.flag(fieldWaitWhenSlow, r.WaitWhenSlow)
 	w.flag(fieldKeyGranted, r.KeyGranted)
+	w.flag(fieldNested, r.Nested)
 	w.number(fieldRevision, f.Revision)
+	w.number(fieldEra, f.Era)
 	ReplaceHeader(h, call.HeaderForward, string(w.query))
 	WriteCallHeaders(h, r, now)
 	if r.Attempt == 0 {
--- a/node/candidates.go
+++ b/node/candidates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/balance"
+	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/retry"
 )
@@ -12,6 +13,8 @@
 type candidateKey struct {
 	service  string
 	selector string
+	// regions is the key of the regions that the route allows.
+	regions string
 }
 
 // candidateSet is the list of upstreams that one selector allows, at one
@@ -21,15 +24,16 @@
 	evacuations uint64
 	summary     uint64
 	list        []balance.Candidate
-	// evacuated is true if an evacuation excludes some upstreams.
-	evacuated bool
+	// evacuated is true if an evacuation excludes some upstreams, and elsewhere if the route
+	// does not allow the regions of some.
+	evacuated, elsewhere bool
 }
 
-// candidates returns the live upstreams of a service that a selector allows and that are
-// in no evacuated zone. The list is cached until a record, a document or an evacuation
-// changes.
-func (n *Node) candidates(service *config.Service, selector *config.Selector) *candidateSet {
-	key := candidateKey{service.Name(), selector.Name()}
+// candidates returns the live upstreams of a service that a selector allows, that are in no
+// evacuated zone, and in a region that the route, if there is one, allows. The list is cached
+// until a record, a document or an evacuation changes.
+func (n *Node) candidates(service *config.Service, selector *config.Selector, route *config.Route) *candidateSet {
+	key := candidateKey{service.Name(), selector.Name(), regionsKey(route)}
 	set := n.sets[key]
 	generation, summary := n.view.Generation(), n.config.Summary()
 	evacuations := n.evacuation.generation
@@ -41,24 +45,40 @@
 		if !service.Serves(selector, r.Name(), r.AvailabilityZone) {
 			continue
 		}
+		if !allowsRegion(route, r.Region) {
+			set.elsewhere = true
+			continue
+		}
 		if n.evacuation.includes(r.AvailabilityZone) {
 			set.evacuated = true
 			continue
 		}
 		set.list = append(set.list, balance.Candidate{
-			ID: r.ID, Zone: r.AvailabilityZone, Incarnation: r.Incarnation,
+			ID: r.ID, Zone: r.AvailabilityZone, Region: r.Region, Incarnation: r.Incarnation,
 		})
 	}
 	n.sets[key] = set
 	return set
 }
 
+// emptyReason returns why a set without candidates is empty.
+func (s *candidateSet) emptyReason() call.Reason {
+	switch {
+	case s.evacuated:
+		return call.Evacuated
+	case s.elsewhere:
+		return call.WrongRegion
+	}
+	return call.NoUpstream
+}
+
 // picker returns the picker for a service.
 func (n *Node) picker(service *config.Service) *balance.Picker {
 	p := n.pickers[service.Name()]
 	if p == nil {
 		p = balance.New(balance.Config{
 			SelfZone:        n.view.Self().AvailabilityZone,
+			SelfRegion:      n.view.Self().Region,
 			LinkCost:        n.links.cost,
 			Rand:            n.cfg.Rand,
 			SameZoneChoices: n.sameZoneChoices(),
@@ -136,5 +156,15 @@
 		ExpectedWork:  n.expectedWork(c.request, now),
 		ExtraLinkCost: time.Duration(c.request.BodyBytes) * costPerKilobyte / 1024,
 		NoTrial:       !c.request.Idempotent(),
+		TimeToTarget:  timeToTarget(c.request, now),
+	}
+}
+
+// timeToTarget returns the time until a request misses its target, at least 1 ns, or 0 if
+// it has no target.
+func timeToTarget(r call.Request, now time.Time) time.Duration {
+	if r.Target.IsZero() {
+		return 0
 	}
+	return max(r.Target.Sub(now), 1)
 }
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -41,6 +41,9 @@
 	// unknown is set once an attempt may have run without an answer.
 	unknown      bool
 	bodyConsumed bool
+	// capacityAt is when a daemon that refused the request expects to have capacity, or
+	// zero, and refusedAt when the last of them refused it.
+	capacityAt, refusedAt time.Time
 }
 
 // attempt is one Forward in progress.
@@ -73,6 +76,7 @@
 	if n.outlastsStop(c.request, now) {
 		return []Command{n.refusal(c, notRunOutcome(c.request), call.Leaving)}
 	}
+	c.request.Nested = n.madeByRun(c.request)
 	n.calls[c.request.ID] = c
 	n.policy(service, now).CountFirst(c.priorAttempts)
 	target, reason, ok := n.choose(c, now)
@@ -92,15 +96,11 @@
 	return []Command{n.refusal(c, notRunOutcome(c.request), reason)}
 }
 
-// retryAfter is the delay after which a caller may try again: longer
-// than a momentary load peak, and short enough to be served in time.
-const retryAfter = 100 * time.Millisecond
-
 // refusal returns the answer for a call that has no upstream's answer.
 func (n *Node) refusal(c *callState, outcome call.Outcome, reason call.Reason) Command {
 	a := Answer{ID: c.request.ID, Outcome: outcome, Reason: reason}
 	if outcome == call.NotRun {
-		a.RetryAfter = retryAfter
+		a.RetryAfter = n.retryAfter(c)
 	}
 	return a
 }
@@ -111,9 +111,9 @@
 	if c.request.Keyed() {
 		return n.chooseHome(c)
 	}
-	set := n.candidates(c.service, c.selector)
-	if len(set.list) == 0 && set.evacuated {
-		return "", call.Evacuated, false
+	set := n.candidates(c.service, c.selector, c.route)
+	if len(set.list) == 0 {
+		return "", set.emptyReason(), false
 	}
 	i, ok := n.pick(c.service, set.list, c.tried, n.pickOptions(c, now), now)
 	if !ok {
@@ -140,7 +140,7 @@
 	c.tried = append(c.tried, target)
 	c.open = append(c.open, attempt{number: c.attemptsMade, target: target, zone: record.AvailabilityZone, started: now})
 	picker := n.picker(c.service)
-	choice := picker.Choice(target, len(n.candidates(c.service, c.selector).list), n.expectedWork(c.request, now), now)
+	choice := picker.Choice(target, len(n.candidates(c.service, c.selector, c.route).list), n.expectedWork(c.request, now), now)
 	picker.Started(target, now)
 	forwarded := c.request
 	forwarded.ID = c.request.ID + "-" + strconv.Itoa(c.attemptsMade)
@@ -172,6 +172,7 @@
 	}
 	n.recordAttempt(c, a, m.Result, now)
 	c.countAttempt(m.Result)
+	c.noteShortage(m.Result, now)
 	c.bodyConsumed = c.bodyConsumed || m.Result.BodyConsumed
 	if m.Result.Outcome == call.NotRun && !m.Result.Answered {
 		m.Result.Outcome = notRunOutcome(c.request)
@@ -256,7 +257,7 @@
 			return "", false
 		}
 		c.crashed = true
-		return n.trialUpstream(c.service, c.selector, c.request.Fingerprint)
+		return n.trialUpstream(c.service, c.selector, c.route, c.request.Fingerprint)
 	}
 	if c.crashed {
 		return "", false
@@ -280,7 +281,7 @@
 		n.links.observe(a.zone, trip)
 		picker.ObserveLinkDelay(a.target, max(trip-n.links.minTrip(a.zone), 0), now)
 	}
-	if work := n.routeWork[c.request.Route]; r.Work > 0 && c.route != nil {
+	if work := n.routeWork[c.request.Route].mean; r.Work > 0 && c.route != nil {
 		if work > 0 {
 			picker.ObserveSlowdown(a.target, float64(r.Work)/float64(work), now)
 		}
@@ -313,7 +314,7 @@
 	if c == nil || len(c.open) != 1 || c.attemptsMade != 1 {
 		return nil
 	}
-	list := n.candidates(c.service, c.selector).list
+	list := n.candidates(c.service, c.selector, c.route).list
 	options := n.pickOptions(c, now)
 	options.NoTrial = true
 	i, ok := n.pick(c.service, list, c.tried, options, now)
--- a/node/status.go
+++ b/node/status.go
@@ -23,18 +23,27 @@
 	// among them, so that the upstream gets no new requests.
 	EvacuatedZones []string `json:"evacuatedZones"`
 	Evacuated      bool     `json:"evacuated"`
+	// Regions describes where requests of routes with regions may run.
+	Regions RegionStatus `json:"regions"`
 	// Leaving is true once new work is refused.
 	Leaving  bool `json:"leaving"`
 	InFlight int  `json:"inFlight"`
 	Queued   int  `json:"queued"`
 	// Cold describes the limit of a cold upstream; nil without one.
 	Cold *admit.ColdStatus `json:"cold,omitempty"`
+	// Shedding is what the gate of the local upstream has refused.
+	Shedding Shedding `json:"shedding"`
+	// HeldBack counts the upstreams that were leaving or gone when the store returned from
+	// an older copy, which lists them as live.
+	HeldBack int `json:"heldBack,omitempty"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
 }
 
 // StoreStatus describes a daemon's copy of the users' store.
 type StoreStatus struct {
+	// Era rises each time the store returns from an older copy; 0 if it names none.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// AgeMs is the time since the copy was last confirmed to be current, in
 	// milliseconds.
@@ -71,8 +80,10 @@
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
 		EvacuatedZones: slices.Clone(n.EvacuatedZones()), Evacuated: n.Evacuated(),
+		Regions: n.Regions(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
-		Cold: n.ColdStatus(now),
+		Cold: n.ColdStatus(now), Shedding: n.Shedding(now),
+		HeldBack: n.returned.HeldBack(),
 	}
 	return s
 }
@@ -86,3 +97,6 @@
 	}
 	return list
 }
+
+// ConfigDocuments returns the documents in force with their content, sorted by key.
+func (n *Node) ConfigDocuments() []config.Document { return n.config.Documents() }
--- a/soak/check.go
+++ b/soak/check.go
@@ -16,6 +16,9 @@
 	// drainNoticeTime is the time in which daemons must stop sending new work to an
 	// upstream that the store lists as draining.
 	drainNoticeTime = 2 * time.Second
+	// evacuationNoticeTime is the time in which requests must stop reaching an evacuated
+	// zone.
+	evacuationNoticeTime = 5 * time.Second
 	// recoveryTime is the time allowed after a fault before its effects count as
 	// violations.
 	recoveryTime = 3 * time.Second
@@ -42,6 +45,7 @@
 		out = append(out, h.checkExchange(e, runs[e.request.Token])...)
 	}
 	out = append(out, h.checkCrashes()...)
+	out = append(out, h.checkCold()...)
 	return append(out, h.checkRecovery()...)
 }
 
@@ -92,13 +96,58 @@
 		if newest := h.configs[len(h.configs)-1]; isMovingPath(r.Path) && r.Service != newest.service && h.isRecovered(e.sent) {
 			violated(ConfigInForce, "service %s ran a request that has been routed to %s for %s", r.Service, newest.service, e.sent.Sub(newest.at))
 		}
-		if drainStart, ok := h.drainStarts[r.Worker]; ok && r.StartedAt.Sub(drainStart) > drainNoticeTime && h.noFault(drainStart.Add(-recoveryTime), r.StartedAt) {
+		if drainStart, ok := h.drainStarts[r.Worker]; ok && r.StartedAt.Sub(drainStart) > drainNoticeTime && h.drainHolds(drainStart, r.StartedAt) {
 			violated(NoNewWork, "%s received the request %s after it started draining", r.Worker, r.StartedAt.Sub(drainStart))
 		}
+		if p, ok := h.evacuationDuring(r); ok && h.couldLearn(p.from, r.StartedAt) {
+			violated(ZoneEvacuated, "%s received the request %s after its zone was evacuated", r.Worker, r.StartedAt.Sub(p.from))
+		}
 	}
 	return out
 }
 
+// drainHolds reports whether all daemons must know at a time that an upstream is draining. A
+// return of the store does not make them forget what they knew before, but a daemon that is
+// restarted then does not know it.
+func (h *history) drainHolds(drainStart, at time.Time) bool {
+	if h.noFault(drainStart.Add(-recoveryTime), at) {
+		return true
+	}
+	return h.noFault(drainStart.Add(-recoveryTime), drainStart.Add(drainNoticeTime)) &&
+		h.noFaultExcept(StoreReturn, drainStart, at) && !h.overlaps(DaemonStop, drainStart, at)
+}
+
+// overlaps reports whether an event of a kind was in progress between two times.
+func (h *history) overlaps(kind Kind, from, to time.Time) bool {
+	return slices.ContainsFunc(h.periods, func(p period) bool {
+		return p.event.Kind == kind && p.from.Before(to) && p.to.After(from)
+	})
+}
+
+// evacuationDuring returns the evacuation of the upstream's zone that should have kept a
+// request from it.
+func (h *history) evacuationDuring(r platformtest.Run) (period, bool) {
+	i := slices.IndexFunc(h.periods, func(p period) bool {
+		return p.event.Kind == Evacuation && p.event.Zone == h.zones[r.Worker] &&
+			r.StartedAt.Sub(p.from) > evacuationNoticeTime && r.StartedAt.Before(p.to)
+	})
+	if i < 0 {
+		return period{}, false
+	}
+	return h.periods[i], true
+}
+
+// couldLearn reports whether no fault between from and to may have kept a daemon from learning
+// what the store holds. Restarts of daemons do not.
+func (h *history) couldLearn(from, to time.Time) bool {
+	return !slices.ContainsFunc(h.periods, func(p period) bool {
+		return slices.Contains(isolatingKinds, p.event.Kind) && p.from.Before(to) && p.to.Add(recoveryTime).After(from)
+	})
+}
+
+// isolatingKinds lists the kinds of faults that may keep a daemon from learning of changes.
+var isolatingKinds = []Kind{StoreFault, StoreReturn, DaemonPartition, DaemonPause, LinkFault}
+
 func isMovingPath(path string) bool { return strings.HasPrefix(path, movingPath) }
 
 // isRouted reports whether some configuration routes the path of a run to its
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -28,7 +28,11 @@
 	// stormChanges is the number of changes in a ConfigStorm, and stormGap the pause
 	// after each.
 	stormChanges = 8
+	// rewriteDelay is the time after a StoreReturn until what was lost is written again.
+	rewriteDelay = 500 * time.Millisecond
 	stormGap     = 60 * time.Millisecond
+	// evacuationPrefix is the prefix of the keys of evacuated zones in the store.
+	evacuationPrefix = "op/evacuate/"
 )
 
 // services lists the services, which are assigned to the machines in turn.
@@ -134,11 +138,17 @@
 	defer f.mu.Unlock()
 	f.configVersion++
 	moved := services[f.configVersion%len(services)]
-	f.store.Configure(f.configVersion, []platformtest.Route{
+	routes := []platformtest.Route{
 		{Name: "look", Prefix: lookupPath, Safe: true, Service: services[0]},
 		{Name: "order", Prefix: orderPath, Service: services[1]},
 		{Name: "moving", Prefix: movingPath, Safe: true, Service: moved},
-	})
+	}
+	for i := range routes {
+		if !f.cfg.NoCold {
+			routes[i].Cold, routes[i].ColdPerSecond = workerColdTime, workerColdPerSecond
+		}
+	}
+	f.store.Configure(f.configVersion, routes)
 	f.history.addConfig(moved, time.Now())
 }
 
@@ -158,6 +168,12 @@
 	switch e.Kind {
 	case StoreCompaction:
 		f.store.Compact()
+	case StoreReturn:
+		copied := f.store.Snapshot()
+		time.Sleep(e.Duration)
+		lost := f.store.ReturnFrom(copied)
+		time.Sleep(rewriteDelay)
+		f.store.WriteAgain(lost)
 	case ConfigChange:
 		f.changeConfig()
 	case ConfigStorm:
@@ -170,6 +186,10 @@
 	case SwitchesOff:
 		f.store.Publish("switches", []byte(`{"kind":"switches","revision":1,"allOff":true}`))
 		f.history.setSwitchedOff(time.Now())
+	case Evacuation:
+		f.store.Put(evacuationPrefix+e.Zone, []byte("{}"))
+		time.Sleep(e.Duration)
+		f.store.Remove(evacuationPrefix + e.Zone)
 	default:
 		var each sync.WaitGroup
 		for _, i := range e.Machines {
@@ -252,6 +272,9 @@
 		w.Set(e.WorkerFault)
 		time.Sleep(e.Duration)
 		w.Set(platformtest.Healthy)
+		if !m.fleet.cfg.NoCold {
+			w.ChillFor(workerColdTime)
+		}
 		return
 	case UpstreamDrain:
 		m.fleet.store.Put(key, draining)
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -30,6 +30,10 @@
 	// workerServiceTime how long each takes.
 	workerSlots       = 12
 	workerServiceTime = 20 * time.Millisecond
+	// workerColdTime is how long an upstream is cold after its start, and
+	// workerColdPerSecond the requests per second that it accepts then.
+	workerColdTime      = 1500 * time.Millisecond
+	workerColdPerSecond = 13
 )
 
 // ports holds the port numbers, which are the same on all machines.
@@ -60,9 +64,14 @@
 	log       *os.File
 }
 
+// zoneCount is the number of availability zones, to which the machines are assigned in turn.
+const zoneCount = 3
+
+func zoneName(number int) string { return string(rune('a' + number)) }
+
 func (f *fleet) newMachine(number int) (*machine, error) {
 	m := &machine{
-		fleet: f, number: number, service: services[number%len(services)], zone: string(rune('a' + number%3)),
+		fleet: f, number: number, service: services[number%len(services)], zone: zoneName(number % zoneCount),
 		publicIP: f.address(publicOctet, number), bindIP: f.address(bindOctet, number),
 	}
 	var err error
@@ -100,14 +109,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.incarnations++
+	cold := workerColdTime
+	if m.fleet.cfg.NoCold {
+		cold = 0
+	}
 	w, err := platformtest.StartWorker(platformtest.WorkerConfig{
-		ID: fmt.Sprintf("i-%d-%d", m.number, m.incarnations), Service: m.service, Zone: m.zone,
+		Cold: cold, ID: fmt.Sprintf("i-%d-%d", m.number, m.incarnations), Service: m.service, Zone: m.zone,
 		Listen: hostPort(m.publicIP, m.fleet.ports.worker), Slots: workerSlots, Work: workerServiceTime, Crash: m.handleCrash,
 	})
 	if err != nil {
 		return err
 	}
 	m.worker = w
+	m.fleet.history.addWorker(w.ID(), m.zone)
 	m.fleet.store.Put(w.Entry(false))
 	return nil
 }
