--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -18,9 +18,11 @@
 	cases := map[string]struct {
 		address string
 		service string
+		body    int
 	}{
-		"direct":      {f.workers[0].Addr(), "faults"},
-		"two daemons": {f.listen[0], "faults"},
+		"direct":              {f.workers[0].Addr(), "faults", 0},
+		"two daemons":         {f.listen[0], "faults", 0},
+		"two daemons, upload": {f.listen[0], "faults", 100_000},
 	}
 	for name, tc := range cases {
 		b.Run(name, func(b *testing.B) {
@@ -31,6 +33,10 @@
 			req.Header.SetHost(tc.service)
 			req.Header.Set(call.HeaderCaller, "dispatch-1")
 			req.Header.Set("X-Work-Us", "1")
+			if tc.body > 0 {
+				req.Header.SetMethod(fasthttp.MethodPut)
+				req.SetBody(make([]byte, tc.body))
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				resp.Reset()
