--- a/cmd/pomelodoor/crowd_test.go
+++ b/cmd/pomelodoor/crowd_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -33,10 +34,13 @@
 	manyDescriptors  = 4096
 	spareDescriptors = 64
 
-	bodyCallers   = 160
-	bodyBytes     = 1_000_000
-	headCallers   = 700
-	answerCallers = 1000
+	bodyCallers = 160
+	bodyBytes   = 1_000_000
+	headCallers = 700
+	// messageCallers send control messages of messageBytes, the longest that are accepted.
+	messageCallers = 600
+	messageBytes   = 256 << 10
+	answerCallers  = 1000
 	// answerRequests is how many requests each caller sends whose answers it does not read,
 	// so that they exceed the buffers of its connection.
 	answerRequests = 12
@@ -388,6 +392,24 @@
 	}
 }
 
+// TestCrowdOfHalfMessages guards against control messages that never end: the process keeps
+// what has arrived of each.
+func TestCrowdOfHalfMessages(t *testing.T) {
+	message := append(binary.AppendUvarint(nil, messageBytes), bytes.Repeat([]byte("m"), messageBytes-1)...)
+	for name, descriptors := range map[string]int{"few descriptors": fewDescriptors, "many descriptors": manyDescriptors} {
+		t.Run(name, func(t *testing.T) {
+			c := startCrowded(t, descriptors)
+			mostOpen := c.gather(t, messageCallers, func(_ int, dial func(string) (net.Conn, error)) {
+				conn, err := dial(c.addresses[controlAddress])
+				if err == nil {
+					_, _ = conn.Write(message)
+				}
+			})
+			c.check(t, mostOpen)
+		})
+	}
+}
+
 // TestCrowdOfUnreadAnswers guards against answers that are kept for callers which never
 // read them.
 func TestCrowdOfUnreadAnswers(t *testing.T) {
