memory held for callers and other daemons is limited, and so are connections

Cause: a body of up to 1 MiB was read into memory whatever was held already, into a buffer that grows by copying, and stayed until 10 s after the head's first byte. Connections, unread answers and incomplete control messages had no limits either.

Change: one account (package memory) for connections, requests, bodies, buffered responses, lent copies and control messages; a request without room gets 503, notRun, overloaded, Retry-After, and its connection is closed (daemons get the report that makes it count). A body has until its request's deadline or its route's timeout (408, bodyLate). Bodies are read into buffers of exact length or in parts, buffered responses are written without a copy, and control messages bypass gnet's buffers.

Log lines about requests that cannot be accepted were not limited; they are now.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -17,6 +17,7 @@
 const (
 	Answered         Reason = "answered"
 	BadRequest       Reason = "badRequest"
+	BodyLate         Reason = "bodyLate"
 	BodyTooLarge     Reason = "bodyTooLarge"
 	Cancelled        Reason = "cancelled"
 	ConnectFailed    Reason = "connectFailed"
@@ -54,6 +55,8 @@
 		return 403
 	case UnknownService:
 		return 404
+	case BodyLate:
+		return 408
 	case InProgress, KeyReused, Replayed:
 		return 409
 	case BodyTooLarge:
--- a/cmd/pomelodoor/run.go
+++ b/cmd/pomelodoor/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"pomelodoor.example/pomelodoor/daemon"
 	"pomelodoor.example/pomelodoor/logline"
+	"pomelodoor.example/pomelodoor/memory"
 )
 
 // logFlushTimeout limits the time for writing the last log lines.
@@ -27,6 +29,9 @@
 		_, err := fmt.Fprintf(logTo, "good: settings of %s, service %s\n", settings.Instance, settings.Service)
 		return err
 	}
+	if limit := memory.RuntimeBytes(settings.MemoryMB); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -33,5 +33,7 @@
 	if d.settings.direct() {
 		status.Store = d.storeCopy.status(time.Now())
 	}
+	report := d.memoryReport()
+	status.Memory = &report
 	return status
 }
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -12,6 +12,7 @@
 
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/ingress"
+	"pomelodoor.example/pomelodoor/logline"
 	"pomelodoor.example/pomelodoor/node"
 )
 
@@ -57,6 +58,7 @@
 		deadline = now.Add(d.maxTimeout(request.Service))
 	}
 	callerCtx, stopWatch := d.watch.Context(ctx.Conn(), deadline, time.Now())
+	callerCtx = ingress.WithTransfer(callerCtx, ctx)
 	if errors.Is(callerCtx.Err(), context.Canceled) {
 		stopWatch()
 		d.refuseGone(ctx, request)
@@ -89,15 +91,11 @@
 	if err != nil {
 		return request, nil, fmt.Errorf("read the request: %w", err)
 	}
+	d.limitBodyTime(ctx, request, now)
 	body, err := ingress.ReadBody(ctx, d.maxBodyBytes(request.Service))
 	if err != nil {
 		return request, nil, fmt.Errorf("read the request: %w", err)
 	}
-	if !body.Replayable() {
-		// The read timeout is meant for the headers. A long body may take until
-		// the longest deadline of the service.
-		_ = ctx.Conn().SetReadDeadline(now.Add(d.maxTimeout(request.Service)))
-	}
 	request.ID = fmt.Sprintf("%016x", rand.Uint64())
 	request.Replayable = body.Replayable()
 	request.BodyBytes = body.Len()
@@ -112,9 +110,15 @@
 // refuseRequest answers a request that cannot be parsed or read. Nothing has
 // run.
 func (d *Daemon) refuseRequest(ctx *fasthttp.RequestCtx, err error) {
+	if ingress.Reason(err) == call.Overloaded {
+		d.refuseOverloaded(ctx)
+		return
+	}
 	ingress.Refuse(ctx, call.NotRun, ingress.Reason(err), err.Error())
 	ctx.SetConnectionClose()
-	d.logFor("ingress").Warn("A request cannot be accepted.", "id", d.dialect.Token(&ctx.Request.Header), "error", err)
+	if d.allowLine(logline.Fault, time.Now()) {
+		d.logFor("ingress").Warn("A request cannot be accepted.", "id", d.dialect.Token(&ctx.Request.Header), "error", err)
+	}
 }
 
 // refuseGone ends a request whose sender had left before it was read.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"pomelodoor.example/pomelodoor/exchange"
 	"pomelodoor.example/pomelodoor/ingress"
 	"pomelodoor.example/pomelodoor/membership"
+	"pomelodoor.example/pomelodoor/memory"
 	"pomelodoor.example/pomelodoor/node"
 	"pomelodoor.example/pomelodoor/peer"
 	"pomelodoor.example/pomelodoor/platform"
@@ -66,6 +67,7 @@
 	// not arrived yet.
 	reserved *reservations
 	watch    *ingress.DisconnectWatcher
+	guards   *guards
 
 	upstream *exchange.Pool
 	peers    *pools
@@ -112,6 +114,7 @@
 	}
 	d.startTask(d.tick)
 	d.startTask(d.sweep)
+	d.startTask(d.relieve)
 	if settings.direct() {
 		d.startTask(d.followStore)
 	}
@@ -150,9 +153,11 @@
 			ProbesPerSecond: settings.bounds.ProbesPerSecond,
 		}),
 		calls: newMailboxes(), runs: newMailboxes(), reserved: newReservations(), watch: ingress.NewDisconnectWatcher(),
+		guards: newGuards(settings.MemoryMB, maxDescriptors()),
 		upstream: exchange.New(exchange.Config{
 			Address: settings.Upstream, MaxConns: defaultUpstreamConns,
 			MatchesRequest: dialect.MatchesRequest, Attributable: dialect.Attributable, Abandoned: ingress.CallerLeft,
+			MayBuffer: ingress.MayBuffer,
 		}),
 		peers:     newPools(overrides.Dial),
 		registry:  registry.New(registry.Config{Addresses: settings.Platform}),
@@ -172,21 +177,26 @@
 
 func (d *Daemon) listen() (err error) {
 	s := d.settings
-	if d.control, err = peer.Start(peer.Config{Listen: s.bindAddress(s.Control), From: s.Bind, Handle: d.receive, OnError: d.logControlClosed}); err != nil {
+	if d.control, err = peer.Start(peer.Config{
+		Listen: s.bindAddress(s.Control), From: s.Bind, Handle: d.receive, OnError: d.logControlClosed,
+		MaxConns: d.guards.controlConns, MaxBufferedBytes: int(d.guards.account.SourceLimit() / controlBufferPart),
+		Hold: d.guards.account.Open(memory.Daemons),
+	}); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Peer), Handle: d.servePeer, Expect: d.expectPeer, NoDate: true}); err != nil {
+	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Peer), Handle: d.servePeer, Expect: d.expectPeer, NoDate: true,
+		Guard: d.guards.daemons, Overloaded: d.refusePeerOverloaded}); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
-	if d.admin, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Admin), Handle: d.serveAdmin}); err != nil {
+	if d.admin, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Admin), Handle: d.serveAdmin, Guard: d.guards.admin, Overloaded: d.refuseOverloaded}); err != nil {
 		return fmt.Errorf("admin: %w", err)
 	}
 	if s.Ready != "" {
-		if d.ready, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Ready), Handle: d.serveReady}); err != nil {
+		if d.ready, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Ready), Handle: d.serveReady, Guard: d.guards.ready, Overloaded: d.refuseOverloaded}); err != nil {
 			return fmt.Errorf("ready: %w", err)
 		}
 	}
-	if d.callers, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Listen), Handle: d.serveCaller}); err != nil {
+	if d.callers, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Listen), Handle: d.serveCaller, Guard: d.guards.callers, Overloaded: d.refuseOverloaded}); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -33,6 +33,8 @@
 	listen   []string
 	peer     []string
 	admin    []string
+	// memoryMB is the memory of the machines of daemons that are added.
+	memoryMB float64
 }
 
 const serviceDocument = `{"kind":"service","revision":1,"service":"faults",
@@ -86,7 +88,7 @@
 			Instance: id, Service: "faults", AvailabilityZone: zone, Region: "north",
 			Listen: addresses[0], Peer: addresses[1], Control: addresses[2], Admin: addresses[3],
 			Upstream: w.Addr(), Platform: []string{f.platform.Addr()},
-			LogLevel: "info", LogFormat: "text", MaxStopSeconds: 5, FleetSize: 10,
+			LogLevel: "info", LogFormat: "text", MaxStopSeconds: 5, FleetSize: 10, MemoryMB: f.memoryMB,
 		}, log.New(io.Discard), daemon.Overrides{})
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -174,5 +174,5 @@
 		d.metrics.copiesLent.Add(1)
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(text)
+	d.setCopy(ctx, text)
 }
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"pomelodoor.example/pomelodoor/call"
 	"pomelodoor.example/pomelodoor/config"
 )
@@ -14,6 +16,21 @@
 	return d.node.Timeout(service)
 }
 
+// limitBodyTime sets when the body of a request must be complete: at its deadline, or after the
+// timeout of its route or service if that is earlier. Until then, the time for heads applies.
+func (d *Daemon) limitBodyTime(ctx *fasthttp.RequestCtx, request call.Request, now time.Time) {
+	if ctx.RequestBodyStream() == nil {
+		return
+	}
+	d.mu.Lock()
+	latest := now.Add(d.node.BodyTimeout(request))
+	d.mu.Unlock()
+	if request.Deadline.IsZero() || request.Deadline.After(latest) {
+		request.Deadline = latest
+	}
+	_ = ctx.Conn().SetReadDeadline(request.Deadline)
+}
+
 // maxBodyBytes returns the size limit of a service's request bodies.
 func (d *Daemon) maxBodyBytes(service string) int64 {
 	d.mu.Lock()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -60,6 +60,7 @@
 		return d.lineLimiter.Withheld()
 	}))
 	m.vars.Set("upstreamConnections", expvar.Func(func() any { return d.upstream.Open() }))
+	m.vars.Set("memory", expvar.Func(func() any { return d.memoryReport() }))
 	m.vars.Set("burn", expvar.Func(func() any {
 		d.burnMu.Lock()
 		defer d.burnMu.Unlock()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -37,15 +37,14 @@
 		return
 	}
 	d.observeRevision(f.Revision, f.From)
+	d.limitBodyTime(ctx, f.Request, now)
 	body, err := ingress.ReadBody(ctx, maxForwardedBodyBytes)
 	if err != nil {
-		d.refuseRequest(ctx, err)
+		d.refusePeerBody(ctx, err)
 		return
 	}
-	if !body.Replayable() {
-		_ = ctx.Conn().SetReadDeadline(f.Request.Deadline)
-	}
 	senderCtx, stopWatch := d.watch.Context(ctx.Conn(), f.Request.Deadline, time.Now())
+	senderCtx = ingress.WithTransfer(senderCtx, ctx)
 	reserved := d.reserved.claim(f.Request.ID)
 	if reserved == nil && !f.Request.Keyed() && errors.Is(senderCtx.Err(), context.Canceled) {
 		stopWatch()
--- a/daemon/polling.go
+++ b/daemon/polling.go
@@ -84,7 +84,7 @@
 		ctx.Response.Header.SetContentEncoding("gzip")
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(changes.body)
+	d.setCopy(ctx, changes.body)
 	d.closeConnIfLeaving(ctx)
 }
 
--- a/daemon/pools.go
+++ b/daemon/pools.go
@@ -37,6 +37,7 @@
 	if pool == nil {
 		pool = exchange.New(exchange.Config{
 			Address: address, MaxConns: maxPeerConns, DialTimeout: peerDialTimeout, Dial: p.dial, Abandoned: ingress.CallerLeft,
+			MayBuffer: ingress.MayBuffer,
 		})
 		p.byAddress[address] = pool
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -38,6 +38,7 @@
 	Bounds           string   `arg:"--bounds,env:POMELODOOR_BOUNDS" help:"what the users' platform asks of the process, as a JSON object"`
 	Assume           []string `arg:"--assume,env:POMELODOOR_ASSUME" help:"actions allowed while the users' store holds no switches document"`
 	FleetSize        int      `arg:"--fleet-size,env:POMELODOOR_FLEET_SIZE" default:"3000" placeholder:"N" help:"most instances that may start at once; the platform is read accordingly seldom until the list is known"`
+	MemoryMB         float64  `arg:"--memory-mb,env:POMELODOOR_MEMORY_MB" default:"0" placeholder:"MB" help:"memory of the machine in MB, from which the limits on what is held for callers and other daemons follow; 0 if it is not known"`
 	LogLevel         string   `arg:"--log-level,env:POMELODOOR_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 	LogFormat        string   `arg:"--log-format,env:POMELODOOR_LOG_FORMAT" default:"text" placeholder:"FORMAT" help:"text or json"`
 	DrainSeconds     float64  `arg:"--drain-seconds,env:POMELODOOR_DRAIN_SECONDS" default:"3" placeholder:"S" help:"least time between telling others of a shutdown and closing the ports"`
@@ -96,6 +97,9 @@
 	maxNameBytes      = 256
 	maxSettingSeconds = 3600
 	maxFleetSize      = 100_000
+	// minMemoryMB leaves the account room for a few bodies of the longest buffered length.
+	minMemoryMB = 32
+	maxMemoryMB = 1 << 20
 )
 
 // Check returns an error that names every invalid setting.
@@ -126,6 +130,9 @@
 	if s.FleetSize < 1 || s.FleetSize > maxFleetSize {
 		invalid("fleet-size", fmt.Sprintf("%d is not between 1 and %d", s.FleetSize, maxFleetSize))
 	}
+	if s.MemoryMB != 0 && !(s.MemoryMB >= minMemoryMB && s.MemoryMB <= maxMemoryMB) {
+		invalid("memory-mb", fmt.Sprintf("%g is neither 0 nor between %d and %d", s.MemoryMB, minMemoryMB, maxMemoryMB))
+	}
 	for flag, seconds := range map[string]float64{"drain-seconds": s.DrainSeconds, "max-stop-seconds": s.MaxStopSeconds} {
 		if !(seconds >= 0 && seconds <= maxSettingSeconds) {
 			invalid(flag, fmt.Sprintf("%g is not between 0 and %d", seconds, maxSettingSeconds))
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -37,3 +37,13 @@
 		})
 	}
 }
+
+// TestMemorySetting guards against an account without room for a single body.
+func TestMemorySetting(t *testing.T) {
+	for memoryMB, valid := range map[float64]bool{0: true, 184: true, 128.5: true, 4: false, -1: false} {
+		s := Settings{MemoryMB: memoryMB}
+		if err := s.Check(); strings.Contains(err.Error(), "--memory-mb") == valid {
+			t.Errorf("%g MB: got %v, want valid: %v", memoryMB, err, valid)
+		}
+	}
+}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -19,6 +19,8 @@
 	writer *bufio.Writer
 	// mayHaveSent is set by the first write of the current exchange.
 	mayHaveSent bool
+	// mayBuffer is Config.MayBuffer for the current exchange, or nil.
+	mayBuffer func(bytes int) bool
 	// idleSince is when the connection was last returned to the pool, and
 	// idleUntil the time after which it must not be reused.
 	idleSince time.Time
@@ -46,3 +48,8 @@
 func (c *conn) usable() bool {
 	return c.reader.Buffered() == 0 && socketIdle(c.Conn)
 }
+
+// roomFor reports whether a response body of a given length may be buffered.
+func (c *conn) roomFor(length int) bool {
+	return length <= smallResponseBytes || c.mayBuffer == nil || c.mayBuffer(length)
+}
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -14,6 +14,10 @@
 // returns. A longer body, or one of unknown length, is streamed.
 const MaxBufferedBytes = 64 << 10
 
+// smallResponseBytes is the length up to which a response is buffered without asking
+// Config.MayBuffer.
+const smallResponseBytes = 4 << 10
+
 // maxResponseHeads limits the interim and final heads read for one response.
 const maxResponseHeads = 4
 
@@ -41,6 +45,9 @@
 		p.awaitContextEnd(ctx)
 		return withCause(ctx, fmt.Errorf("%w: %w", ErrNotSent, err))
 	}
+	if p.cfg.MayBuffer != nil {
+		c.mayBuffer = func(bytes int) bool { return p.cfg.MayBuffer(ctx, bytes) }
+	}
 	stop := bindContext(ctx, c)
 	err = p.roundTrip(c, req, resp, stop)
 	if err != nil {
@@ -241,7 +248,7 @@
 		return nil
 	}
 	length := resp.Header.ContentLength()
-	if length < 0 || length > MaxBufferedBytes {
+	if length < 0 || length > MaxBufferedBytes || !c.roomFor(length) {
 		return p.streamBody(c, resp, length, stop, reuse)
 	}
 	if err := resp.ReadBody(c.reader, 0); err != nil {
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -42,6 +42,9 @@
 	// the request has a connection, the opening of which may have taken long; nil sends
 	// all.
 	Abandoned func(ctx context.Context, now time.Time) bool
+	// MayBuffer reports whether there is memory to buffer so many bytes of a response, which
+	// is streamed otherwise; nil buffers all. It is not asked about the smallest ones.
+	MayBuffer func(ctx context.Context, bytes int) bool
 	// Now returns the time for idle timeouts; time.Now when nil.
 	Now func() time.Time
 }
@@ -191,6 +194,7 @@
 // put returns a connection to the pool after its last response was read to the end.
 func (p *Pool) put(c *conn) {
 	_ = c.SetDeadline(time.Time{})
+	c.mayBuffer = nil
 	c.idleSince = p.cfg.Now()
 	c.idleUntil = c.idleSince.Add(min(p.cfg.MaxIdle, c.keepAliveTimeout))
 	p.mu.Lock()
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -17,6 +17,10 @@
 var (
 	// ErrShortBody means that the caller ended the body before its stated length.
 	ErrShortBody = merry.Sentinel("ingress: request body cut short", merry.WithValue(reasonKey, call.ShortBody))
+	// ErrLateBody means that the body was not complete in time.
+	ErrLateBody = merry.Sentinel("ingress: request body late", merry.WithValue(reasonKey, call.BodyLate))
+	// ErrOverloaded means that there is no room for the request.
+	ErrOverloaded = merry.Sentinel("ingress: too little memory", merry.WithValue(reasonKey, call.Overloaded))
 	// ErrLongBody means that the body is longer than its service allows.
 	ErrLongBody = merry.Sentinel("ingress: request body too long", merry.WithValue(reasonKey, call.BodyTooLarge))
 )
@@ -37,7 +41,8 @@
 
 // ReadBody reads a body of up to MaxBufferedBytes into memory. Such a body is known to
 // be complete: one cut short is rejected here, before anything ran. maxBytes limits
-// the stated length, and what is read of a stream of unknown length.
+// the stated length, and what is read of a stream of unknown length. The caller sets the
+// time until which the body must have arrived on the connection.
 func ReadBody(ctx *fasthttp.RequestCtx, maxBytes int64) (*Body, error) {
 	length := ctx.Request.Header.ContentLength()
 	if int64(length) > maxBytes {
@@ -47,31 +52,46 @@
 	if stream == nil {
 		return &Body{buffered: ctx.Request.Body(), length: len(ctx.Request.Body())}, nil
 	}
+	t := transferOf(ctx)
+	t.readBody()
+	reader := &bodyReader{stream: stream, transfer: t}
 	if length > MaxBufferedBytes {
-		return &Body{stream: stream, length: length}, nil
+		return &Body{stream: reader, length: length}, nil
 	}
-	buffered, err := readWithoutTrailers(&ctx.Request.Header, io.LimitReader(stream, MaxBufferedBytes+1))
-	if err != nil || (length >= 0 && len(buffered) < length) {
-		return nil, fmt.Errorf("%w: %d bytes came", ErrShortBody, len(buffered))
+	if length >= 0 {
+		buffered, err := readKnown(reader, length, t)
+		if err != nil {
+			return nil, err
+		}
+		return &Body{buffered: buffered, length: length}, nil
 	}
-	if len(buffered) <= MaxBufferedBytes {
-		return &Body{buffered: buffered, length: len(buffered)}, nil
-	}
-	limited := &limitedBody{reader: io.MultiReader(bytes.NewReader(buffered), stream), remaining: maxBytes}
-	return &Body{stream: limited, length: -1}, nil
+	return readChunked(&ctx.Request.Header, reader, maxBytes)
 }
 
-// readWithoutTrailers reads a body and discards the trailer fields after it, which
-// fasthttp adds to the headers of the request. They could pass for headers
-// (RFC 9110, section 6.5.1).
-func readWithoutTrailers(h *fasthttp.RequestHeader, body io.Reader) ([]byte, error) {
-	if h.ContentLength() >= 0 {
-		return io.ReadAll(body)
+// readChunked reads a body of unknown length.
+func readChunked(h *fasthttp.RequestHeader, reader *bodyReader, maxBytes int64) (*Body, error) {
+	var parts [][]byte
+	length := 0
+	err := keepHeaders(h, func() (err error) {
+		parts, length, err = readUnknown(reader, reader.transfer)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if length > MaxBufferedBytes {
+		readers := make([]io.Reader, 0, len(parts)+1)
+		for _, part := range parts {
+			readers = append(readers, bytes.NewReader(part))
+		}
+		limited := &limitedBody{reader: io.MultiReader(append(readers, reader)...), remaining: maxBytes}
+		return &Body{stream: limited, length: -1}, nil
+	}
+	buffered, err := joinParts(parts, length, reader.transfer)
+	if err != nil {
+		return nil, err
 	}
-	var head fasthttp.RequestHeader
-	h.CopyTo(&head)
-	defer head.CopyTo(h)
-	return io.ReadAll(body)
+	return &Body{buffered: buffered, length: length}, nil
 }
 
 // Replayable reports whether the body can be sent again.
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -38,7 +38,8 @@
 	for _, name := range daemonHeaders {
 		ctx.Response.Header.Del(name)
 	}
-	body := &relayedBody{from: from, done: done}
+	t := transferOf(ctx)
+	body := &relayedBody{from: from, done: done, transfer: t}
 	switch {
 	case ctx.IsHead():
 		ctx.Response.SkipBody = true
@@ -48,6 +49,9 @@
 		_ = body.Close()
 	case from.IsBodyStream():
 		ctx.Response.SetBodyStream(body, length)
+	case t.keep(from):
+		ctx.Response.SetBodyRaw(from.Body())
+		done()
 	default:
 		ctx.Response.SetBody(from.Body())
 		_ = body.Close()
@@ -56,15 +60,18 @@
 
 // relayedBody reads the body of another response and releases that response at the end.
 type relayedBody struct {
-	from   *fasthttp.Response
-	done   func()
-	closed bool
+	from     *fasthttp.Response
+	done     func()
+	closed   bool
+	transfer *Transfer
 }
 
 func (p *relayedBody) Read(b []byte) (int, error) {
 	if p.closed {
 		return 0, io.ErrClosedPipe
 	}
+	// What was read before has been written.
+	p.transfer.progress()
 	return p.from.BodyStream().Read(b)
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -19,8 +19,9 @@
 	// idleTimeout is longer than the idle timeout of every pomelodoor client, so that
 	// the client closes an idle connection, not the server.
 	idleTimeout = 90 * time.Second
-	// prereadBytes is how much of a body is read before the handler runs.
-	prereadBytes = 64 << 10
+	// prereadBytes is how much of a body is read before the handler runs. It is the least that
+	// fasthttp allows: the handler reserves memory for the body first.
+	prereadBytes = 1
 	// headerTimeout limits the time from the first byte of a request to its handler.
 	headerTimeout = 10 * time.Second
 )
@@ -35,6 +36,10 @@
 	// receive the body, or the status to refuse the request with. If it is nil,
 	// every body is received.
 	Expect func(*fasthttp.RequestCtx) int
+	// Guard limits the connections and what they hold; nil sets no limits.
+	Guard *Guard
+	// Overloaded answers a request for which the Guard has no room.
+	Overloaded fasthttp.RequestHandler
 	// NoDate omits the Date header, which the daemon that the caller reached adds:
 	// traffic between availability zones is expensive.
 	NoDate bool
@@ -53,6 +58,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
 	}
+	if cfg.Guard != nil {
+		listener = guardedListener{Listener: listener, guard: cfg.Guard}
+		cfg.Handle, cfg.Expect = cfg.guarded()
+	}
 	s := &Server{listener: listener, serveErr: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Handler:                      cfg.Handle,
@@ -70,10 +79,37 @@
 		CloseOnShutdown:              true,
 		Logger:                       discardLog{},
 	}
+	if cfg.Guard != nil {
+		s.http.ConnState = cfg.Guard.connState
+	}
 	go func() { s.serveErr <- s.http.Serve(listener) }()
 	return s, nil
 }
 
+// guarded returns the handlers of a server with a Guard.
+func (c Config) guarded() (handle fasthttp.RequestHandler, expect func(*fasthttp.RequestCtx) int) {
+	handle = func(ctx *fasthttp.RequestCtx) {
+		t := c.Guard.begin(ctx.Conn())
+		if t == nil {
+			c.Overloaded(ctx)
+			ctx.SetConnectionClose()
+			return
+		}
+		ctx.SetUserValue(transferKey, t)
+		c.Handle(ctx)
+		t.answer()
+	}
+	if c.Expect == nil {
+		return handle, nil
+	}
+	return handle, func(ctx *fasthttp.RequestCtx) int {
+		if c.Guard.begin(ctx.Conn()) == nil {
+			return fasthttp.StatusServiceUnavailable
+		}
+		return c.Expect(ctx)
+	}
+}
+
 // Address returns the IP:PORT that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
--- a/memory/account.go
+++ b/memory/account.go
@@ -24,6 +24,8 @@
 	Requests Kind = "requests"
 	Bodies   Kind = "bodies"
 	Answers  Kind = "answers"
+	// Messages is for control messages that have arrived in part.
+	Messages Kind = "messages"
 )
 
 const (
@@ -102,17 +104,6 @@
 	return max(bySource, min(overall, a.bySource[source]), 0)
 }
 
-// Status is a summary of the account for operators, in bytes.
-type Status struct {
-	Limit    int64            `json:"limit"`
-	Used     int64            `json:"used"`
-	Peak     int64            `json:"peak"`
-	BySource map[Source]int64 `json:"bySource"`
-	ByKind   map[Kind]int64   `json:"byKind"`
-	// Refused counts the reservations for which there was no room.
-	Refused map[Kind]int64 `json:"refused"`
-}
-
 // Status returns the present state.
 func (a *Account) Status() Status {
 	a.mu.Lock()
--- a/memory/connections.go
+++ b/memory/connections.go
@@ -61,19 +61,6 @@
 // Request returns what is reserved for the request in progress, or nil.
 func (c *Conn) Request() *Hold { return c.request }
 
-// Counts counts what Connections has refused and ended.
-type Counts struct {
-	// Refused are connections for which there was no room.
-	Refused int64 `json:"refused"`
-	// Requests are requests for which there was no room.
-	Requests int64 `json:"requests"`
-	// Idle, Bodies and Answers are the connections ended while they waited for a request,
-	// read a body and wrote an answer.
-	Idle    int64 `json:"idle"`
-	Bodies  int64 `json:"bodies"`
-	Answers int64 `json:"answers"`
-}
-
 // Connections holds the connections of one port. It is not safe for concurrent use.
 type Connections struct {
 	account *Account
@@ -90,14 +77,13 @@
 	return &Connections{account: account, source: source, limit: min(limit, byMemory), all: map[*Conn]struct{}{}}
 }
 
-// Len returns the number of connections, and Limit their limit.
-func (t *Connections) Len() int { return len(t.all) }
-
 // Limit returns the limit on the number of connections.
 func (t *Connections) Limit() int { return t.limit }
 
-// Counts returns what was refused and ended.
-func (t *Connections) Counts() Counts { return t.counts }
+// Status returns the present state.
+func (t *Connections) Status() PortStatus {
+	return PortStatus{Open: len(t.all), Limit: t.limit, Counts: t.counts}
+}
 
 // Open adds a connection. If there are too many, another one is to be ended, or the new one
 // is refused: then opened is nil.
--- a/node/node.go
+++ b/node/node.go
@@ -385,6 +385,17 @@
 	return fallbackTimeout
 }
 
+// BodyTimeout returns how long the body of a request may take: the timeout of its route, or
+// else of its service.
+func (n *Node) BodyTimeout(request call.Request) time.Duration {
+	if routes := n.config.Routes(); routes != nil {
+		if route, ok := routes.Find(request.Host, request.Path); ok {
+			return route.Timeout()
+		}
+	}
+	return n.Timeout(request.Service)
+}
+
 // ServiceLevel returns the promised service level of a service, or false if no
 // document states one.
 func (n *Node) ServiceLevel(service string) (config.ServiceLevel, bool) {
--- a/node/status.go
+++ b/node/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/memory"
 )
 
 // Status is the daemon's state as shown to operators.
@@ -23,6 +24,8 @@
 	Queued   int  `json:"queued"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
+	// Memory describes what is held for callers and other daemons; the daemon sets it.
+	Memory *memory.Report `json:"memory,omitempty"`
 }
 
 // StoreStatus describes a daemon's copy of the users' store.
--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -11,6 +11,8 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"pomelodoor.example/pomelodoor/memory"
 )
 
 const (
@@ -18,6 +20,10 @@
 	// of 64 KiB in its JSON envelope.
 	DefaultMaxFrameBytes = 256 << 10
 
+	// defaultMaxConns and defaultMaxBufferedBytes apply where Config sets no limit.
+	defaultMaxConns         = 1024
+	defaultMaxBufferedBytes = 64 << 20
+
 	startTimeout = 5 * time.Second
 	stopTimeout  = 2 * time.Second
 )
@@ -30,6 +36,13 @@
 	From string
 	// MaxFrameBytes limits the size of a message; DefaultMaxFrameBytes when zero.
 	MaxFrameBytes int
+	// MaxConns limits the connections that others open, and MaxBufferedBytes what is kept of
+	// their incomplete messages. Above a limit, the connection whose last complete message is
+	// the longest ago is closed.
+	MaxConns         int
+	MaxBufferedBytes int
+	// Hold is where the memory for these connections is reserved; nil reserves none.
+	Hold *memory.Hold
 	// Handle is called with each message, on the connection's own goroutine.
 	Handle func(Envelope)
 	// OnError is called with the error when a connection is closed for invalid
@@ -51,6 +64,8 @@
 	bytesOut atomic.Int64
 	bytesIn  atomic.Int64
 	dropped  atomic.Int64
+	accepted atomic.Int64
+	ended    atomic.Int64
 }
 
 // Start starts an endpoint, and returns once it can receive messages.
@@ -58,6 +73,12 @@
 	if cfg.MaxFrameBytes == 0 {
 		cfg.MaxFrameBytes = DefaultMaxFrameBytes
 	}
+	if cfg.MaxConns == 0 {
+		cfg.MaxConns = defaultMaxConns
+	}
+	if cfg.MaxBufferedBytes == 0 {
+		cfg.MaxBufferedBytes = defaultMaxBufferedBytes
+	}
 	e := &Endpoint{
 		cfg:       cfg,
 		listening: make(chan struct{}),
@@ -74,7 +95,7 @@
 	}
 	e.client = client
 	go func() {
-		e.serveErr <- gnet.Run(&eventHandler{endpoint: e, server: true}, "tcp://"+cfg.Listen, noLog,
+		e.serveErr <- gnet.Run(&eventHandler{endpoint: e, accepted: newAccepted(cfg.MaxConns, cfg.MaxBufferedBytes, cfg.Hold)}, "tcp://"+cfg.Listen, noLog,
 			gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true))
 	}()
 	select {
@@ -106,6 +127,12 @@
 // Dropped returns the number of messages that were not sent.
 func (e *Endpoint) Dropped() int64 { return e.dropped.Load() }
 
+// Accepted returns the number of open connections that others have opened.
+func (e *Endpoint) Accepted() int { return int(e.accepted.Load()) }
+
+// Ended returns the number of connections that were closed for lack of room.
+func (e *Endpoint) Ended() int64 { return e.ended.Load() }
+
 // Stop stops the endpoint and closes its connections.
 func (e *Endpoint) Stop() error {
 	e.mu.Lock()
--- a/peer/events.go
+++ b/peer/events.go
@@ -11,12 +11,13 @@
 type eventHandler struct {
 	gnet.BuiltinEventEngine
 	endpoint *Endpoint
-	server   bool
+	// accepted holds the connections of the listener; nil for the client.
+	accepted *accepted
 }
 
 // OnBoot records that the listener is running.
 func (v *eventHandler) OnBoot(engine gnet.Engine) gnet.Action {
-	if v.server {
+	if v.accepted != nil {
 		v.endpoint.engine = engine
 		close(v.endpoint.listening)
 	}
@@ -26,7 +27,7 @@
 // OnOpen creates the stream of an accepted connection. A dialed one already has a
 // stream.
 func (v *eventHandler) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if !v.server {
+	if v.accepted == nil {
 		if s := streamOf(c); s != nil {
 			s.conn = c
 		}
@@ -36,18 +37,37 @@
 	s.conn = c
 	c.SetContext(s)
 	v.endpoint.newRPCConn(s)
+	v.end(v.accepted.open(s))
 	return nil, gnet.None
 }
 
+// end closes connections for lack of room.
+func (v *eventHandler) end(streams []*stream) {
+	for _, s := range streams {
+		v.endpoint.ended.Add(1)
+		_ = s.Close()
+	}
+	v.countAccepted()
+}
+
+func (v *eventHandler) countAccepted() {
+	v.endpoint.accepted.Store(int64(len(v.accepted.streams)))
+}
+
 // OnTraffic reads the complete frames, and closes the connection if that fails.
 func (v *eventHandler) OnTraffic(c gnet.Conn) gnet.Action {
 	s := streamOf(c)
 	if s == nil {
 		return gnet.Close
 	}
-	before := c.InboundBuffered()
-	err := s.readFrames()
-	v.endpoint.bytesIn.Add(int64(before - c.InboundBuffered()))
+	n, err := s.readFrames()
+	v.endpoint.bytesIn.Add(int64(n))
+	if v.accepted != nil {
+		v.end(v.accepted.received(s, s.incomplete(), n > 0))
+		if !v.accepted.has(s) {
+			return gnet.Close
+		}
+	}
 	if err == nil {
 		return gnet.None
 	}
@@ -60,6 +80,10 @@
 // OnClose closes the stream, which ends its jsonrpc2 reader.
 func (v *eventHandler) OnClose(c gnet.Conn, _ error) gnet.Action {
 	if s := streamOf(c); s != nil {
+		if v.accepted != nil {
+			v.accepted.close(s)
+			v.countAccepted()
+		}
 		s.once.Do(func() { close(s.closed) })
 	}
 	return gnet.None
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -6,18 +6,17 @@
 	"fmt"
 )
 
-// nextFrame finds the first frame in data: JSON after a varint length. It returns the
-// offsets at which the JSON starts and ends; ok is false if the frame is incomplete.
-func nextFrame(data []byte, maxBytes int) (start, end int, ok bool, err error) {
-	length, n := binary.Uvarint(data)
-	if n == 0 {
-		return 0, 0, false, nil
+// frameLength returns the length of the JSON of a frame, which precedes it as a varint; ok is
+// false if the varint is incomplete.
+func frameLength(data []byte, maxBytes int) (length int, ok bool, err error) {
+	n, read := binary.Uvarint(data)
+	if read == 0 {
+		return 0, false, nil
 	}
-	if n < 0 || length == 0 || length > uint64(maxBytes) {
-		return 0, 0, false, fmt.Errorf("%w: length %d, limit %d", ErrFrame, length, maxBytes)
+	if read < 0 || n == 0 || n > uint64(maxBytes) {
+		return 0, false, fmt.Errorf("%w: length %d, limit %d", ErrFrame, n, maxBytes)
 	}
-	end = n + int(length)
-	return n, end, len(data) >= end, nil
+	return int(n), true, nil
 }
 
 // appendFrame returns v encoded as one frame.
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -21,6 +21,11 @@
 	inbox    chan []byte
 	closed   chan struct{}
 	once     sync.Once
+
+	// length holds the first bytes of a frame, as long as its length is not known, and frame
+	// its JSON from then on. Its capacity is exact: gnet's own buffers grow to twice that.
+	length []byte
+	frame  []byte
 }
 
 func newStream(maxBytes int, onSent func(int)) *stream {
@@ -32,33 +37,56 @@
 	}
 }
 
-// readFrames moves the complete frames from the connection to the inbox. It runs on
-// gnet's event loop and never blocks.
-func (s *stream) readFrames() error {
-	for {
-		data, err := s.conn.Peek(-1)
-		if err != nil || len(data) == 0 {
-			return nil
-		}
-		start, end, ok, err := nextFrame(data, s.maxBytes)
-		if err != nil {
-			return err
-		}
-		if !ok {
-			return nil
+// readFrames moves the complete frames from the connection to the inbox, and returns how many
+// bytes they had. It runs on gnet's event loop and never blocks.
+func (s *stream) readFrames() (frameBytes int, err error) {
+	data, err := s.conn.Next(-1)
+	if err != nil {
+		return 0, fmt.Errorf("read from the connection: %w", err)
+	}
+	for len(data) > 0 {
+		if s.frame == nil {
+			if data, err = s.readLength(data); err != nil {
+				return frameBytes, err
+			}
+			continue
 		}
-		frame := append([]byte(nil), data[start:end]...)
-		if _, err := s.conn.Discard(end); err != nil {
-			return fmt.Errorf("discard frame from the buffer: %w", err)
+		n := min(cap(s.frame)-len(s.frame), len(data))
+		s.frame = append(s.frame, data[:n]...)
+		data = data[n:]
+		if len(s.frame) < cap(s.frame) {
+			break
 		}
+		frameBytes += len(s.length) + len(s.frame)
 		select {
-		case s.inbox <- frame:
+		case s.inbox <- s.frame:
 		default:
-			return ErrBacklog
+			return frameBytes, ErrBacklog
 		}
+		s.frame, s.length = nil, s.length[:0]
 	}
+	return frameBytes, nil
 }
 
+// readLength reads the length of a frame, and returns the data after it.
+func (s *stream) readLength(data []byte) ([]byte, error) {
+	for i, b := range data {
+		s.length = append(s.length, b)
+		length, ok, err := frameLength(s.length, s.maxBytes)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			s.frame = make([]byte, 0, length)
+			return data[i+1:], nil
+		}
+	}
+	return nil, nil
+}
+
+// incomplete returns how many bytes an incomplete frame uses.
+func (s *stream) incomplete() int { return cap(s.frame) }
+
 // WriteObject queues obj on the connection.
 func (s *stream) WriteObject(obj any) error {
 	frame, err := appendFrame(obj, s.maxBytes)
