--- a/daemon/polling.go
+++ b/daemon/polling.go
@@ -86,7 +86,7 @@
 		ctx.Response.Header.SetContentEncoding("gzip")
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(changes.body)
+	d.setCopy(ctx, changes.body)
 	d.closeConnIfLeaving(ctx)
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -6,6 +6,7 @@
 
 	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/memory"
 )
 
 // Status is the daemon's state as shown to operators.
@@ -38,6 +39,8 @@
 	HeldBack int `json:"heldBack,omitempty"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
+	// Memory describes what is held for callers and other daemons; the daemon sets it.
+	Memory *memory.Report `json:"memory,omitempty"`
 }
 
 // StoreStatus describes a daemon's copy of the users' store.
