--- a/cmd/pomelodoor/status.go
+++ b/cmd/pomelodoor/status.go
@@ -111,7 +111,10 @@
 	for _, name := range names {
 		writeStatus(table, statuses[name])
 	}
-	return true, table.Flush()
+	if err := table.Flush(); err != nil {
+		return true, err
+	}
+	return true, writeConditions(out, statuses)
 }
 
 func writeStatus(out io.Writer, s node.Status) {
--- a/cmd/pomelodoor/summary.go
+++ b/cmd/pomelodoor/summary.go
@@ -99,6 +99,12 @@
 	if s.Revision > 0 {
 		_, err = fmt.Fprintf(out, "store: revision %d, %d behind it, oldest copy %d ms, read by %d\n", s.Revision, s.Behind, s.OldestAgeMs, s.StoreReaders)
 	}
+	if err != nil {
+		return err
+	}
+	if err := writeConditions(out, statuses); err != nil {
+		return err
+	}
 	for _, o := range s.Outliers {
 		_, err = fmt.Fprintf(out, "%s: %s\n", o.Instance, o.Reason)
 	}
--- a/node/status.go
+++ b/node/status.go
@@ -11,6 +11,7 @@
 // Status is the daemon's state as shown to operators.
 type Status struct {
 	Instance    string           `json:"instance"`
+	Service     string           `json:"service"`
 	Incarnation uint64           `json:"incarnation"`
 	Ready       bool             `json:"ready"`
 	Documents   []DocumentStatus `json:"documents"`
@@ -75,7 +76,7 @@
 func (n *Node) Status(now time.Time) Status {
 	load := n.gate.Load(now)
 	s := Status{
-		Instance: n.cfg.Self.ID, Incarnation: n.cfg.Incarnation, Ready: n.Ready(),
+		Instance: n.cfg.Self.ID, Service: n.cfg.Self.Service, Incarnation: n.cfg.Incarnation, Ready: n.Ready(),
 		Documents:     n.Documents(),
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
