--- a/soak/run.go
+++ b/soak/run.go
@@ -61,6 +61,7 @@
 	// ColdArrivals counts the requests and probes that reached cold upstreams, and ColdMost
 	// is the largest number of them at one upstream within a second.
 	ColdArrivals, ColdMost int
+	Evacuations            []EvacuationReport
 	// ReadyAfter is the time from the start of the fleet until all daemons were ready.
 	ReadyAfter time.Duration
 	Violations []Violation
@@ -106,6 +107,7 @@
 	}
 	report.Requests, report.Runs = len(h.exchanges), len(h.runs)
 	report.ColdArrivals, report.ColdMost = h.coldArrivals, h.coldMost
+	report.Evacuations = h.evacuations()
 	for _, e := range h.exchanges {
 		switch {
 		case e.result.Served():
