--- a/admit/overload_test.go
+++ b/admit/overload_test.go
@@ -92,3 +92,38 @@
 		g.Cancel("a", epoch)
 	}
 }
+
+// BenchmarkColdGate measures a call at a gate without a limit for cold upstreams, and at one
+// with it whose upstream is warm (with a probe for each four calls) or cold.
+func BenchmarkColdGate(b *testing.B) {
+	limit := admit.NewColdLimit(13, 27.5)
+	tests := map[string]struct {
+		limit  admit.ColdLimit
+		pause  time.Duration
+		probed bool
+	}{
+		"without a limit": {admit.ColdLimit{}, 10 * time.Millisecond, false},
+		"warm":            {limit, 10 * time.Millisecond, true},
+		"cold":            {limit, 100 * time.Millisecond, false},
+	}
+	for name, test := range tests {
+		b.Run(name, func(b *testing.B) {
+			g := admit.New(admit.Config{})
+			g.SetLimits(admit.Limits{Slots: 12, Queue: 24, ColdLimit: test.limit}, epoch)
+			now := epoch.Add(time.Minute)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(test.pause)
+				if test.probed && i%4 == 0 {
+					g.Probed(now)
+					g.FoundWarm(now)
+				}
+				g.Arrive(request("a", call.Normal, 1<<40), now)
+				g.Finish("a", 40*time.Millisecond, now)
+			}
+			if g.Queued() > 0 {
+				b.Errorf("%d calls wait, want none", g.Queued())
+			}
+		})
+	}
+}
