--- a/cmd/pomelodoor/main_test.go
+++ b/cmd/pomelodoor/main_test.go
@@ -56,7 +56,7 @@
 		"check against none":  {[]string{"check", "--against", "http://127.0.0.1:1", good}, exitUsage, []string{"cannot check: --against: query 127.0.0.1:1"}},
 		"check zones":         {[]string{"check", "--zones", `{"a":"north"}`, zones}, exitFault, []string{`zones.json:1: evacuated[0]: warning: zone "b" is not in --zones`}},
 		"check bad zones":     {[]string{"check", "--zones", `["a"]`, zones}, exitUsage, []string{"cannot check: --zones"}},
-		"check memory":        {[]string{"check", "--memory-mb", "8", newer}, exitFault, []string{"newer.json:1: limits.maxBodyBytes: warning: is 16777216, above the 8388608 bytes"}},
+		"check memory":        {[]string{"check", "--memory-mb", "8", newer}, exitFault, []string{"newer.json:1: limits.maxBodyBytes: warning: is 16777216, above the 3355443 bytes"}},
 		"explain":             {[]string{"explain", "--caller", "dispatch-1", "--instance", "faults-1:a", "--instance", "faults-2:b", good}, exitOK, []string{"dispatchers", "faults-1", "faults-2"}},
 		"explain evacuation":  {[]string{"explain", "--caller", "dispatch-1", "--instance", "faults-2:b", "--evacuation", zones, good}, exitOK, []string{"- upstream faults-2", "is evacuated"}},
 		"explain other zones": {[]string{"explain", "--caller", "dispatch-1", "--evacuation", good, good}, exitFault, []string{"not a zones document"}},
