--- a/cmd/pomelodoor/check.go
+++ b/cmd/pomelodoor/check.go
@@ -10,6 +10,7 @@
 	"pomelodoor.example/pomelodoor/config"
 	"pomelodoor.example/pomelodoor/diff"
 	"pomelodoor.example/pomelodoor/lint"
+	"pomelodoor.example/pomelodoor/memory"
 )
 
 // Errors of check, which exits with 1 only for warnings.
@@ -72,7 +73,10 @@
 
 func (c *checkCommand) report() (checkReport, error) {
 	r := checkReport{Documents: []checkedDocument{}, Findings: []lint.Finding{}, Against: c.Against}
-	in := lint.Input{AccountBytes: c.MemoryMB << 20}
+	in := lint.Input{}
+	if c.MemoryMB > 0 {
+		in.AccountBytes = memory.AccountBytes(float64(c.MemoryMB))
+	}
 	var err error
 	if in.Regions, err = c.regions(); err != nil {
 		return r, err
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -19,6 +19,10 @@
 // the request's deadline ends that earlier.
 const maxResponseHeads = 1000
 
+// smallResponseBytes is the length up to which a response is buffered without asking
+// Config.MayBuffer.
+const smallResponseBytes = 4 << 10
+
 var (
 	errTooManyInterim = errors.New("too many interim responses")
 	errMismatch       = errors.New("response belongs to another request")
@@ -43,6 +47,9 @@
 		p.awaitContextEnd(ctx)
 		return withCause(ctx, fmt.Errorf("%w: %w", ErrNotSent, err))
 	}
+	if p.cfg.MayBuffer != nil {
+		c.mayBuffer = func(bytes int) bool { return p.cfg.MayBuffer(ctx, bytes) }
+	}
 	stop := bindContext(ctx, c)
 	err = p.roundTrip(c, req, resp, stop)
 	if err != nil {
@@ -251,7 +258,7 @@
 		return nil
 	}
 	length := resp.Header.ContentLength()
-	if length < 0 || length > MaxBufferedBytes {
+	if length < 0 || length > MaxBufferedBytes || !c.roomFor(length) {
 		return p.streamBody(c, resp, length, stop, reuse)
 	}
 	if err := resp.ReadBody(c.reader, 0); err != nil {
--- a/node/status.go
+++ b/node/status.go
@@ -6,11 +6,13 @@
 
 	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/config"
+	"pomelodoor.example/pomelodoor/memory"
 )
 
 // Status is the daemon's state as shown to operators.
 type Status struct {
 	Instance    string           `json:"instance"`
+	Service     string           `json:"service"`
 	Incarnation uint64           `json:"incarnation"`
 	Ready       bool             `json:"ready"`
 	Documents   []DocumentStatus `json:"documents"`
@@ -38,6 +40,8 @@
 	HeldBack int `json:"heldBack,omitempty"`
 	// Store describes the copy of the users' store; nil without that store.
 	Store *StoreStatus `json:"store,omitempty"`
+	// Memory describes what is held for callers and other daemons; the daemon sets it.
+	Memory *memory.Report `json:"memory,omitempty"`
 }
 
 // StoreStatus describes a daemon's copy of the users' store.
@@ -75,7 +79,7 @@
 func (n *Node) Status(now time.Time) Status {
 	load := n.gate.Load(now)
 	s := Status{
-		Instance: n.cfg.Self.ID, Incarnation: n.cfg.Incarnation, Ready: n.Ready(),
+		Instance: n.cfg.Self.ID, Service: n.cfg.Self.Service, Incarnation: n.cfg.Incarnation, Ready: n.Ready(),
 		Documents:     n.Documents(),
 		Configuration: n.config.Status(),
 		Live:          n.view.LiveCount(), Known: n.view.Len(),
