--- a/follow/reader.go
+++ b/follow/reader.go
@@ -179,11 +179,7 @@
 		return false
 	}
 	age := c.Age + now.Sub(receivedBy(c.Received, now))
-	if c.Leaving || age >= f.cfg.percent(maxAgePercent) {
-		f.suspectReader(from, minSuspicion, now)
-	} else {
-		delete(f.suspects, from)
-	}
+	f.judgeReader(c, from, age, now)
 	if c.ReadStore {
 		f.readRequested = true
 		if age < f.cfg.percent(maxAgePercent) {
@@ -207,6 +203,22 @@
 	return changed
 }
 
+// judgeReader decides from the answer to a poll whether the reader is polled again at once.
+// A reader with an old copy is not to blame while this daemon gets nothing from the store
+// either. If all readers stayed suspected after a long outage, nobody would tell this daemon
+// that the store answers again.
+func (f *Follower) judgeReader(c Copy, from string, age time.Duration, now time.Time) {
+	tooOld := age >= f.cfg.percent(maxAgePercent)
+	switch {
+	case tooOld && f.inFault && !c.Leaving:
+		f.suspects[from] = suspect{failures: f.suspects[from].failures, until: now.Add(minRefusal)}
+	case tooOld || c.Leaving:
+		f.suspectReader(from, minSuspicion, now)
+	default:
+		delete(f.suspects, from)
+	}
+}
+
 // PollFailed records that a reader did not answer a poll.
 func (f *Follower) PollFailed(from string, now time.Time) {
 	atLeast := minSuspicion
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -50,15 +50,19 @@
 		ms     int
 		action follow.Action
 	}{
-		"polls until its copy is too old":            {ms: 10, action: poll("r-1", 5, 1290)},
-		"reads the store when its copy is too old":   {ms: 1300, action: read(5)},
-		"a confirmation extends the time":            {[]event{{500, polled(confirmed(100), "r-1")}}, 500, poll("r-1", 5, 1200)},
-		"the age of a reader's copy is its own":      {[]event{{500, polled(confirmed(1200), "r-1")}}, 500, poll("r-1", 5, 800)},
-		"a reader that fails is not polled again":    {[]event{{100, pollFailed("r-1")}}, 100, poll("r-2", 5, 1200)},
-		"a reader that fails is forgiven":            {[]event{{100, pollFailed("r-1")}, {350, polled(confirmed(0), "r-2")}}, 350, poll("r-1", 5, 1300)},
-		"a reader that does not answer in time":      {[]event{{1300, pollFailed("r-1")}, {1310, watched(5)}, {3200, polled(confirmed(0), "r-2")}}, 3200, poll("r-2", 5, 1300)},
-		"a reader whose copy is too old":             {[]event{{100, polled(confirmed(1300), "r-1")}}, 100, poll("r-2", 5, 1200)},
-		"a reader that is leaving":                   {[]event{{100, polled(follow.Copy{Revision: 5, Leaving: true}, "r-1")}}, 100, poll("r-2", 5, 1300)},
+		"polls until its copy is too old":          {ms: 10, action: poll("r-1", 5, 1290)},
+		"reads the store when its copy is too old": {ms: 1300, action: read(5)},
+		"a confirmation extends the time":          {[]event{{500, polled(confirmed(100), "r-1")}}, 500, poll("r-1", 5, 1200)},
+		"the age of a reader's copy is its own":    {[]event{{500, polled(confirmed(1200), "r-1")}}, 500, poll("r-1", 5, 800)},
+		"a reader that fails is not polled again":  {[]event{{100, pollFailed("r-1")}}, 100, poll("r-2", 5, 1200)},
+		"a reader that fails is forgiven":          {[]event{{100, pollFailed("r-1")}, {350, polled(confirmed(0), "r-2")}}, 350, poll("r-1", 5, 1300)},
+		"a reader that does not answer in time":    {[]event{{1300, pollFailed("r-1")}, {1310, watched(5)}, {3200, polled(confirmed(0), "r-2")}}, 3200, poll("r-2", 5, 1300)},
+		"a reader whose copy is too old":           {[]event{{100, polled(confirmed(1300), "r-1")}}, 100, poll("r-2", 5, 1200)},
+		"a reader that is leaving":                 {[]event{{100, polled(follow.Copy{Revision: 5, Leaving: true}, "r-1")}}, 100, poll("r-2", 5, 1300)},
+		"in an outage an old reader is polled again": {[]event{
+			{1300, failed}, {1350, polled(confirmed(1350), "r-1")}, {1400, polled(confirmed(1400), "r-2")},
+			{1600, polled(confirmed(1600), "r-1")}, {1650, polled(confirmed(1650), "r-2")}, {1700, failed}, {1850, pollFailed("r-2")},
+		}, 1850, poll("r-1", 5, 250)},
 		"without a reader it waits":                  {[]event{{100, pollFailed("r-1")}, {150, pollFailed("r-2")}}, 150, wait(350)},
 		"without a reader it then reads":             {[]event{{1200, pollFailed("r-1")}, {1250, pollFailed("r-2")}}, 1300, read(5)},
 		"changes that are too many are read":         {[]event{{100, polled(follow.Copy{Revision: 7, ReadStore: true}, "r-1")}}, 100, read(5)},
