ingress: a body that is sent on as it arrives is not stalled while its receiver is slow

Cause, found by reading: under pressure a body of more than 1 MiB counted as stalled while its request waited in the queue of its upstream, or the upstream did not read. Change: it does only while the daemon waits for its sender. Not reproduced by a test of its own.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -53,11 +53,12 @@
 		return &Body{buffered: ctx.Request.Body(), length: len(ctx.Request.Body())}, nil
 	}
 	t := transferOf(ctx)
-	t.readBody()
 	reader := &bodyReader{stream: stream, transfer: t}
 	if length > MaxBufferedBytes {
+		reader.streamed = true
 		return &Body{stream: reader, length: length}, nil
 	}
+	t.readBody()
 	if length >= 0 {
 		buffered, err := readKnown(reader, length, t)
 		if err != nil {
@@ -80,6 +81,11 @@
 		return nil, err
 	}
 	if length > MaxBufferedBytes {
+		// It waits for its upstream first, which is not a lack of progress.
+		if !reader.transfer.bodyRead() {
+			return nil, fmt.Errorf("%w: the body made no progress after %d bytes", ErrOverloaded, length)
+		}
+		reader.streamed = true
 		readers := make([]io.Reader, 0, len(parts)+1)
 		for _, part := range parts {
 			readers = append(readers, bytes.NewReader(part))
--- a/ingress/body_reading.go
+++ b/ingress/body_reading.go
@@ -110,18 +110,24 @@
 type bodyReader struct {
 	stream   io.Reader
 	transfer *Transfer
+	// streamed is true if the body is read as it is sent on. Between two reads it is then the
+	// receiver that has to make progress.
+	streamed bool
 	// unrecorded is how many bytes have arrived since progress was last recorded.
 	unrecorded int
 }
 
 // Read reads from the body.
 func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.streamed {
+		r.transfer.readBody()
+	}
 	n, err := r.stream.Read(p)
 	if r.unrecorded += n; r.unrecorded >= progressBytes {
 		r.unrecorded = 0
 		r.transfer.progress()
 	}
-	if errors.Is(err, io.EOF) && !r.transfer.bodyRead() {
+	if (r.streamed || errors.Is(err, io.EOF)) && !r.transfer.bodyRead() {
 		return n, ErrOverloaded
 	}
 	return n, err
