admit, node: refusal by least cost is an action of its own, leastCost

What is new must not change deployments that do not ask for it. Change: the plan of the queue and the Retry-After of a shortage need the action leastCost, beside shed.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -45,6 +45,9 @@
 	// Shed enables ordering by priority and deadline, eviction, and refusal by
 	// predicted wait. Without it the queue is first in, first out.
 	Shed bool
+	// LeastCost plans the queue by the work of the calls, if Shed and Paced are set: what is
+	// refused is what costs callers least.
+	LeastCost bool
 	// Paced starts calls only with a recent reading of the upstream's pace, and
 	// refuses or holds calls while the upstream is slow. The pace is the current
 	// processing time in percent of nominal.
@@ -244,7 +247,7 @@
 	g.limits.Slots, g.limits.Queue = max(limits.Slots, 0), max(limits.Queue, 0)
 	g.cold.set(limits.ColdLimit, now)
 	g.pace.cold = limits.Cold || g.cold.warmth == cold
-	g.queue.reorder(limits.Shed)
+	g.queue.reorder(limits.Shed, limits.LeastCost)
 	actions = append(actions, g.fill(now)...)
 	for g.queue.len() > g.limits.Queue {
 		actions = append(actions, refuse(g.queue.popLast().req.ID, call.Overloaded))
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -183,7 +183,7 @@
 			i++
 			continue
 		case turnAway:
-			actions = append(actions, refuse(w.req.ID, call.Slow))
+			actions = append(actions, refuse(w.req.ID, g.turnAwayReason(w, now)))
 		case startNow:
 			actions = append(actions, g.start(w.req, now))
 		}
@@ -204,6 +204,9 @@
 // decide compares starting a call at the present pace with turning it away, to be
 // run elsewhere, and with waiting until the slow period ends.
 func (g *Gate) decide(w queuedCall, now time.Time) decision {
+	if g.passedOver(w, now) {
+		return turnAway
+	}
 	if !g.pace.currentlySlow(now) {
 		return startNow
 	}
@@ -217,3 +220,24 @@
 	}
 	return keepWaiting
 }
+
+// passedOver reports whether a call has waited too long to meet its target while
+// another queued call can still meet its own. A planned queue holds no such call.
+func (g *Gate) passedOver(w queuedCall, now time.Time) bool {
+	if !g.limits.Shed || g.sheds() || w.req.Target.IsZero() || !now.Add(g.pace.expectedWork(w.req)).After(w.req.Target) {
+		return false
+	}
+	for _, other := range g.queue.calls {
+		if other.req.Target.After(now.Add(g.pace.expectedWork(other.req))) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) turnAwayReason(w queuedCall, now time.Time) call.Reason {
+	if g.passedOver(w, now) {
+		return call.Overloaded
+	}
+	return call.Slow
+}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -21,6 +21,8 @@
 	calls        []queuedCall
 	nextSequence uint64
 	byUrgency    bool
+	// leastCost orders by the classes of the discipline; without it a class is a rank.
+	leastCost bool
 	discipline
 }
 
@@ -32,7 +34,7 @@
 // arrival. With byUrgency unset it orders them by arrival only.
 func (q *queue) compare(a, b queuedCall) int {
 	if q.byUrgency {
-		if d := cmp.Or(q.class(a)-q.class(b), q.within(a.req, b.req)); d != 0 {
+		if d := cmp.Or(q.classOf(a)-q.classOf(b), q.within(a.req, b.req)); d != 0 {
 			return d
 		}
 	}
@@ -42,6 +44,14 @@
 	return 1
 }
 
+// classOf returns the class of a call, which is compared first.
+func (q *queue) classOf(w queuedCall) int {
+	if q.leastCost {
+		return q.class(w)
+	}
+	return w.req.Priority.Rank()
+}
+
 // compareDeadlines orders calls without a deadline last.
 func compareDeadlines(a, b time.Time) int {
 	switch {
@@ -129,7 +139,7 @@
 	return ids
 }
 
-func (q *queue) reorder(byUrgency bool) {
-	q.byUrgency = byUrgency
+func (q *queue) reorder(byUrgency, leastCost bool) {
+	q.byUrgency, q.leastCost = byUrgency, leastCost
 	slices.SortFunc(q.calls, q.compare)
 }
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -55,7 +55,9 @@
 
 // sheds reports whether calls give way according to a plan, which needs the expected work
 // of each.
-func (g *Gate) sheds() bool { return g.limits.Shed && g.limits.Paced && g.limits.Slots > 0 }
+func (g *Gate) sheds() bool {
+	return g.limits.Shed && g.limits.LeastCost && g.limits.Paced && g.limits.Slots > 0
+}
 
 // giveWay refuses the queued calls that cannot be in time as soon as that is known, under
 // a load beyond the capacity of the upstream. A call of a route below its floor is served
--- a/config/action.go
+++ b/config/action.go
@@ -19,6 +19,9 @@
 	HandOn Action = "handOn"
 	// Shed rejects calls that would wait in the queue past their deadline.
 	Shed Action = "shed"
+	// LeastCost decides, beside Shed, by the work of calls too which of them are rejected
+	// when not all can be in time.
+	LeastCost Action = "leastCost"
 	// SlowStart sends fewer calls to an instance that has just started.
 	SlowStart Action = "slowStart"
 	// Quarantine rejects requests that crash upstreams.
@@ -31,7 +34,7 @@
 
 var actions = []Action{
 	Retry, Hedge, Eject, SpillOver, HandOn,
-	Shed, SlowStart, Quarantine, LoadAware, Probe,
+	Shed, SlowStart, Quarantine, LoadAware, Probe, LeastCost,
 }
 
 // Actions returns all actions, in the order used in reports.
--- a/node/pace.go
+++ b/node/pace.go
@@ -117,7 +117,7 @@
 // gateLimits returns the limits for the local gate.
 func (n *Node) gateLimits(service *config.Service, now time.Time) admit.Limits {
 	l := service.Limits()
-	limits := admit.Limits{Slots: l.Slots(), Queue: l.Queue(), Shed: n.config.Allowed(config.Shed)}
+	limits := admit.Limits{Slots: l.Slots(), Queue: l.Queue(), Shed: n.config.Allowed(config.Shed), LeastCost: n.config.Allowed(config.LeastCost)}
 	if slots := n.view.Self().Slots; slots > 0 {
 		limits.Slots, limits.UncontendedSlots, limits.Queue = slots, max(slots*uncontendedPercent/100, 1), queuePerSlot*slots
 	}
--- a/node/retry_after.go
+++ b/node/retry_after.go
@@ -6,6 +6,7 @@
 	"pomelodoor.example/pomelodoor/admit"
 	"pomelodoor.example/pomelodoor/balance"
 	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/config"
 )
 
 const (
@@ -54,7 +55,7 @@
 // has left. The callers of a rank are spread over a time of their own, so that those of a
 // higher rank return first and none return together.
 func (n *Node) retryAfter(c *callState) time.Duration {
-	if c.capacityAt.IsZero() {
+	if c.capacityAt.IsZero() || !n.config.Allowed(config.LeastCost) {
 		return defaultRetryAfter
 	}
 	const latest = retryAfterSteps + retryAfterRanks // of 1/retryAfterSteps of the base
