heartbeat: one record of when the process did not run

daemon/heartbeat.go and ingress/disconnect.go each kept the last beat and the same bound of 200 ms, and the daemon called both. Both now use heartbeat.Monitor; bounds and conditions are the same. TestAnswersOfStoppedProcess moves with it, and TestCallerLeftOfLateProcess calls Beat of the monitor in place of the watcher; their cases are unchanged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"pomelodoor.example/pomelodoor/burn"
 	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/heartbeat"
 	"pomelodoor.example/pomelodoor/ingress"
 	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/memory"
@@ -86,7 +87,8 @@
 	admin    *ingress.Server
 	ready    *ingress.Server
 
-	heartbeat heartbeat
+	// heartbeat tells when the process did not run.
+	heartbeat *heartbeat.Monitor
 	metrics   *metrics
 	burnMu    sync.Mutex
 	burn      *burn.Burn
@@ -144,6 +146,8 @@
 	if overrides.Dial == nil && settings.Bind != "" {
 		overrides.Dial = exchange.DialFrom(settings.Bind)
 	}
+	monitor := &heartbeat.Monitor{}
+	monitor.Beat(started)
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: settings, log: logger, lineLimiter: overrides.LineLimiter, self: self, incarnation: incarnation, started: started,
@@ -153,7 +157,8 @@
 			Direct:    settings.direct(), AssumedActions: settings.assumedActions(), Retry: settings.bounds.retry(),
 			ProbesPerSecond: settings.bounds.ProbesPerSecond, ColdBound: settings.bounds.cold(),
 		}),
-		calls: newMailboxes(), runs: newMailboxes(), reserved: newReservations(), watch: ingress.NewDisconnectWatcher(),
+		calls: newMailboxes(), runs: newMailboxes(), reserved: newReservations(),
+		heartbeat: monitor, watch: ingress.NewDisconnectWatcher(monitor),
 		guards: newGuards(settings.MemoryMB, maxDescriptors()),
 		upstream: exchange.New(exchange.Config{
 			Address: settings.Upstream, MaxConns: defaultUpstreamConns,
@@ -168,8 +173,6 @@
 		stopping:  make(chan struct{}),
 		ctx:       ctx, stop: stop,
 	}
-	d.heartbeat.beat(started)
-	d.watch.Beat(started)
 	d.store = platform.New(platform.Config{Address: settings.Store, ReportOdd: d.logOddItem})
 	d.burn = burn.New(burn.Config{Instance: settings.Instance, ServiceLevel: d.serviceLevel})
 	d.metrics = newMetrics(d)
@@ -314,8 +317,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			d.heartbeat.beat(time.Now())
-			d.watch.Beat(time.Now())
+			d.heartbeat.Beat(time.Now())
 			d.update(node.Tick{})
 			d.queryNeighbour(time.Now())
 		case <-d.ctx.Done():
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -134,7 +134,7 @@
 			d.readFailed(ctx)
 			return err
 		}
-		page.Received = d.heartbeat.receivedBy(time.Now())
+		page.Received = d.heartbeat.ReceivedBy(time.Now())
 		d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool { return f.Listed(page, now) })
 		return nil
 	}
@@ -154,7 +154,7 @@
 		d.readFailed(ctx)
 		return err
 	}
-	page.Received = d.heartbeat.receivedBy(time.Now())
+	page.Received = d.heartbeat.ReceivedBy(time.Now())
 	d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool { return f.Watched(page, now) })
 	return nil
 }
--- a/daemon/lending.go
+++ b/daemon/lending.go
@@ -75,7 +75,7 @@
 		return
 	}
 	d.lending.failureLogged = false
-	c.Received = d.heartbeat.receivedBy(time.Now())
+	c.Received = d.heartbeat.ReceivedBy(time.Now())
 	if before, applied := d.storeCopy.applyCopy(c, address); applied {
 		d.metrics.copiesBorrowed.Add(1)
 		d.logFor("store").Info("Took over a copy of the store from a neighbour.", "from", address, "revision", c.Revision, "era", c.Era,
--- a/daemon/polling.go
+++ b/daemon/polling.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	d.metrics.polls.Add(1)
-	c.Received = d.heartbeat.receivedBy(time.Now())
+	c.Received = d.heartbeat.ReceivedBy(time.Now())
 	confirmed := false
 	d.storeCopy.applyAnswer(func(f *follow.Follower, now time.Time) bool {
 		before := f.ConfirmedAt()
--- a/daemon/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -1,4 +1,4 @@
-package daemon
+package heartbeat
 
 import (
 	"testing"
@@ -24,11 +24,11 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var h heartbeat
+			var m Monitor
 			for _, ms := range test.beats {
-				h.beat(at(ms))
+				m.Beat(at(ms))
 			}
-			if got := h.receivedBy(at(test.ms)); !got.Equal(at(test.wantMs)) {
+			if got := m.ReceivedBy(at(test.ms)); !got.Equal(at(test.wantMs)) {
 				t.Fatalf("got %s, want %s", got.Sub(at(0)), at(test.wantMs).Sub(at(0)))
 			}
 		})
--- a/ingress/disconnect.go
+++ b/ingress/disconnect.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"pomelodoor.example/pomelodoor/heartbeat"
 )
 
 // disconnectPollInterval is how often the connections of waiting requests are checked.
@@ -19,22 +21,21 @@
 	waiting map[net.Conn]context.CancelFunc
 	// cancelled is set by CancelAll.
 	cancelled bool
-	// lastBeat is when Beat was last called, and lateUntil the time until which the
-	// process counts as late.
-	lastBeat  time.Time
-	lateUntil time.Time
+	heartbeat *heartbeat.Monitor
 	// wake signals that there are connections to check again.
 	wake chan struct{}
 	stop chan struct{}
 	once sync.Once
 }
 
-// NewDisconnectWatcher returns a running watcher.
-func NewDisconnectWatcher() *DisconnectWatcher {
+// NewDisconnectWatcher returns a running watcher. The monitor tells when the process is
+// late.
+func NewDisconnectWatcher(monitor *heartbeat.Monitor) *DisconnectWatcher {
 	w := &DisconnectWatcher{
-		waiting: map[net.Conn]context.CancelFunc{},
-		wake:    make(chan struct{}, 1),
-		stop:    make(chan struct{}),
+		heartbeat: monitor,
+		waiting:   map[net.Conn]context.CancelFunc{},
+		wake:      make(chan struct{}, 1),
+		stop:      make(chan struct{}),
 	}
 	go w.run()
 	return w
@@ -94,7 +95,7 @@
 		return true
 	}
 	watched, ok := ctx.Value(watchedConnKey).(*watchedConn)
-	if !ok || watched == nil || !watched.watcher.Late(now) {
+	if !ok || watched == nil || !watched.watcher.heartbeat.Late(now) {
 		return false
 	}
 	watched.mu.Lock()
@@ -116,38 +117,6 @@
 	return context.WithValue(context.WithoutCancel(ctx), watchedConnKey, (*watchedConn)(nil))
 }
 
-const (
-	// maxBeatInterval is the time between two calls of Beat above which the process is
-	// late: it was stopped, or has more to do than its processor allows.
-	maxBeatInterval = 200 * time.Millisecond
-	// lateTime is how long a process that was late counts as such: until it has dealt
-	// with the requests that came meanwhile.
-	lateTime = time.Second
-)
-
-// Beat tells the watcher that the process runs. It must be called several times a second.
-func (w *DisconnectWatcher) Beat(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.noteLateness(now)
-	w.lastBeat = now
-}
-
-// Late reports whether the process is late, or was a moment ago.
-func (w *DisconnectWatcher) Late(now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.noteLateness(now)
-	return now.Before(w.lateUntil)
-}
-
-// noteLateness records that the last call of Beat is too long ago.
-func (w *DisconnectWatcher) noteLateness(now time.Time) {
-	if !w.lastBeat.IsZero() && now.Sub(w.lastBeat) > maxBeatInterval {
-		w.lateUntil = now.Add(lateTime)
-	}
-}
-
 // CancelAll cancels all requests, present and future.
 func (w *DisconnectWatcher) CancelAll() {
 	w.mu.Lock()
--- a/ingress/disconnect_test.go
+++ b/ingress/disconnect_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"pomelodoor.example/pomelodoor/heartbeat"
 )
 
 // TestCallerLeftOfLateProcess guards against a late process that sends on the request of a
@@ -39,14 +41,15 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = c.Close() }()
-			w := NewDisconnectWatcher()
+			monitor := &heartbeat.Monitor{}
+			w := NewDisconnectWatcher(monitor)
 			defer w.Close()
 			ctx, stop := w.Context(c, start.Add(time.Hour), start)
 			defer stop()
 			_ = caller.Close()
 			time.Sleep(10 * time.Millisecond)
 			for _, beat := range test.beats {
-				w.Beat(start.Add(beat))
+				monitor.Beat(start.Add(beat))
 			}
 			if got := CallerLeft(ctx, start.Add(test.at)); got != test.late || (ctx.Err() != nil) != test.late {
 				t.Fatalf("got %t, context %v, want %t", got, ctx.Err(), test.late)
