--- a/membership/returned.go
+++ b/membership/era_filter.go
@@ -10,19 +10,21 @@
 	removedSweepInterval = time.Minute
 )
 
-// Returned keeps upstreams out of use that were known to be leaving or gone when the store
+// EraFilter keeps upstreams out of use that were known to be leaving or gone when the store
 // returned from an older copy, which still lists them as live. It compares the lists of one
 // era with what was known in the era before. The zero value knows nothing. It is not safe
 // for concurrent use.
-type Returned struct {
-	era   uint64
+type EraFilter struct {
+	era uint64
+	// round counts the lists.
 	round uint64
 	// listed holds the upstreams of the last list, as far as they are used.
 	listed map[string]*listedUpstream
 	// removed holds those that have been removed from the list in this era.
 	removed map[string]removedUpstream
 	// held holds what was known when the era began.
-	held      map[string]*heldUpstream
+	held map[string]*heldUpstream
+	// heldBack counts the entries of the last list that are not used as listed.
 	heldBack  int
 	lastSweep time.Time
 }
@@ -55,55 +57,55 @@
 }
 
 // HeldBack returns the number of upstreams of the last list that are kept out of use.
-func (r *Returned) HeldBack() int { return r.heldBack }
+func (f *EraFilter) HeldBack() int { return f.heldBack }
 
 // Filter returns the entries of the complete list of a store, at a revision of an era, that
 // are not older than what is known. An upstream that was leaving stays so for the rest of
 // its incarnation, and one that was gone until its entry has been written again.
-func (r *Returned) Filter(list []StoreEntry, era, revision uint64, now time.Time) []StoreEntry {
-	if r.listed == nil {
-		r.listed, r.removed, r.held = map[string]*listedUpstream{}, map[string]removedUpstream{}, map[string]*heldUpstream{}
+func (f *EraFilter) Filter(list []StoreEntry, era, revision uint64, now time.Time) []StoreEntry {
+	if f.listed == nil {
+		f.listed, f.removed, f.held = map[string]*listedUpstream{}, map[string]removedUpstream{}, map[string]*heldUpstream{}
 	}
-	if era > r.era {
-		r.begin(era, now)
+	if era > f.era {
+		f.begin(era, now)
 	}
-	r.round++
-	r.heldBack = 0
+	f.round++
+	f.heldBack = 0
 	kept := make([]StoreEntry, 0, len(list))
 	for _, entry := range list {
-		state, use := r.check(entry, now)
+		state, use := f.check(entry, now)
 		if !use || state != entry.State {
-			r.heldBack++
+			f.heldBack++
 		}
 		if use {
 			entry.State = state
 			kept = append(kept, entry)
-			r.note(entry)
+			f.note(entry)
 		}
 	}
-	r.noteRemoved(revision, now)
-	r.sweep(now)
+	f.noteRemoved(revision, now)
+	f.sweep(now)
 	return kept
 }
 
 // begin records what is known at the beginning of an era.
-func (r *Returned) begin(era uint64, now time.Time) {
-	r.era = era
-	for _, h := range r.held {
+func (f *EraFilter) begin(era uint64, now time.Time) {
+	f.era = era
+	for _, h := range f.held {
 		h.seen = 0
 	}
-	for id, u := range r.listed {
-		r.held[id] = &heldUpstream{incarnation: u.incarnation, state: u.state, seenAt: now}
+	for id, u := range f.listed {
+		f.held[id] = &heldUpstream{incarnation: u.incarnation, state: u.state, seenAt: now}
 	}
-	for id, u := range r.removed {
-		r.held[id] = &heldUpstream{incarnation: u.incarnation, state: Gone, goneBy: u.revision, seenAt: now}
+	for id, u := range f.removed {
+		f.held[id] = &heldUpstream{incarnation: u.incarnation, state: Gone, goneBy: u.revision, seenAt: now}
 	}
-	clear(r.removed)
+	clear(f.removed)
 }
 
 // check returns the state in which an entry may be used, or false if it may not.
-func (r *Returned) check(entry StoreEntry, now time.Time) (state State, use bool) {
-	h, known := r.held[entry.UpstreamIncarnation]
+func (f *EraFilter) check(entry StoreEntry, now time.Time) (state State, use bool) {
+	h, known := f.held[entry.UpstreamIncarnation]
 	if !known {
 		return entry.State, true
 	}
@@ -116,7 +118,7 @@
 	case entry.Incarnation == h.incarnation && h.state == Gone && !h.writtenAgain(entry.Revision):
 		return entry.State, false
 	}
-	delete(r.held, entry.UpstreamIncarnation)
+	delete(f.held, entry.UpstreamIncarnation)
 	return entry.State, true
 }
 
@@ -130,40 +132,40 @@
 }
 
 // note records an entry that is used.
-func (r *Returned) note(entry StoreEntry) {
-	delete(r.removed, entry.UpstreamIncarnation)
-	u := r.listed[entry.UpstreamIncarnation]
+func (f *EraFilter) note(entry StoreEntry) {
+	delete(f.removed, entry.UpstreamIncarnation)
+	u := f.listed[entry.UpstreamIncarnation]
 	if u == nil {
 		u = &listedUpstream{}
-		r.listed[entry.UpstreamIncarnation] = u
+		f.listed[entry.UpstreamIncarnation] = u
 	}
-	u.incarnation, u.state, u.round = entry.Incarnation, entry.State, r.round
+	u.incarnation, u.state, u.round = entry.Incarnation, entry.State, f.round
 }
 
 // noteRemoved records the upstreams that the list of a revision no longer has.
-func (r *Returned) noteRemoved(revision uint64, now time.Time) {
-	for id, u := range r.listed {
-		if u.round != r.round {
-			delete(r.listed, id)
-			r.removed[id] = removedUpstream{incarnation: u.incarnation, revision: revision, at: now}
+func (f *EraFilter) noteRemoved(revision uint64, now time.Time) {
+	for id, u := range f.listed {
+		if u.round != f.round {
+			delete(f.listed, id)
+			f.removed[id] = removedUpstream{incarnation: u.incarnation, revision: revision, at: now}
 		}
 	}
 }
 
 // sweep forgets upstreams that have not been listed for keepRemoved.
-func (r *Returned) sweep(now time.Time) {
-	if now.Sub(r.lastSweep) < removedSweepInterval {
+func (f *EraFilter) sweep(now time.Time) {
+	if now.Sub(f.lastSweep) < removedSweepInterval {
 		return
 	}
-	r.lastSweep = now
-	for id, u := range r.removed {
+	f.lastSweep = now
+	for id, u := range f.removed {
 		if now.Sub(u.at) > keepRemoved {
-			delete(r.removed, id)
+			delete(f.removed, id)
 		}
 	}
-	for id, h := range r.held {
+	for id, h := range f.held {
 		if now.Sub(h.seenAt) > keepRemoved {
-			delete(r.held, id)
+			delete(f.held, id)
 		}
 	}
 }
--- a/membership/returned_test.go
+++ b/membership/era_filter_test.go
@@ -9,8 +9,8 @@
 	"pomelodoor.example/pomelodoor/membership"
 )
 
-// TestReturned guards against upstreams that come back with an older copy of the store.
-func TestReturned(t *testing.T) {
+// TestEraFilter guards against upstreams that come back with an older copy of the store.
+func TestEraFilter(t *testing.T) {
 	type list struct {
 		era, revision uint64
 		// entries are "ID incarnation state revision".
@@ -90,7 +90,7 @@
 	}
 	for name, lists := range tests {
 		t.Run(name, func(t *testing.T) {
-			var r membership.Returned
+			var filter membership.EraFilter
 			for i, l := range lists {
 				var entries []membership.StoreEntry
 				for _, text := range l.entries {
@@ -99,7 +99,7 @@
 					entries = append(entries, e)
 				}
 				var used []string
-				for _, e := range r.Filter(entries, l.era, l.revision, time.Unix(1_800_000_000, 0).Add(l.at)) {
+				for _, e := range filter.Filter(entries, l.era, l.revision, time.Unix(1_800_000_000, 0).Add(l.at)) {
 					id := e.UpstreamIncarnation
 					if e.State == membership.Leaving {
 						id = "-" + id
--- a/node/direct.go
+++ b/node/direct.go
@@ -29,9 +29,9 @@
 // withoutReturned returns the list without the upstreams that came back with an older copy of
 // the store, and logs how many these are when that changes.
 func (n *Node) withoutReturned(m InstancesListed, now time.Time) ([]membership.StoreEntry, []Command) {
-	before := n.returned.HeldBack()
-	list := n.returned.Filter(m.List, m.Era, m.Revision, now)
-	if after := n.returned.HeldBack(); after != before {
+	before := n.eraFilter.HeldBack()
+	list := n.eraFilter.Filter(m.List, m.Era, m.Revision, now)
+	if after := n.eraFilter.HeldBack(); after != before {
 		return list, []Command{LogEntry{Part: "membership", Text: "Upstreams that were leaving or gone when the store returned stay so.", Fields: []any{
 			"upstreams", after, "era", m.Era, "storeRevision", m.Revision,
 		}}}
--- a/node/node.go
+++ b/node/node.go
@@ -140,8 +140,8 @@
 	upstreamCold bool
 	// upstreamListed is set once the store has listed the local upstream.
 	upstreamListed bool
-	// returned keeps upstreams out of use that came back with an older copy of the store.
-	returned membership.Returned
+	// eraFilter keeps upstreams out of use that came back with an older copy of the store.
+	eraFilter membership.EraFilter
 	// servingSince is when the upstream began to report that it is serving.
 	servingSince time.Time
 	// stopping is set by Shutdown; closing is set once no new work is accepted.
--- a/node/status.go
+++ b/node/status.go
@@ -87,7 +87,7 @@
 		Regions: n.Regions(),
 		Leaving: n.leaving(), InFlight: load.InFlight, Queued: load.Queued,
 		Cold: n.ColdStatus(now), Shedding: n.Shedding(now),
-		HeldBack: n.returned.HeldBack(),
+		HeldBack: n.eraFilter.HeldBack(),
 	}
 	return s
 }
