--- a/lint/labels.go
+++ b/lint/labels.go
@@ -7,12 +7,13 @@
 	"pomelodoor.example/pomelodoor/config"
 )
 
-// place stands for all instances that the label rules of a service treat alike.
-type place struct{ instance, zone string }
+// instanceClass stands for all instances that the label rules of a service treat alike, by the
+// name and zone of one of them.
+type instanceClass struct{ instance, zone string }
 
-// places returns a place for each way in which label rules can apply to an instance. If the
-// zones are known, instances are only in them.
-func (c *checker) places(rules []config.LabelRule) []place {
+// instanceClasses returns a class for each way in which label rules can apply to an instance. If
+// the zones are known, instances are only in them.
+func (c *checker) instanceClasses(rules []config.LabelRule) []instanceClass {
 	var byInstance, byZone [][]string
 	for _, r := range rules {
 		byInstance = append(byInstance, r.Instances())
@@ -22,18 +23,18 @@
 	if c.Regions != nil {
 		zones = slices.Sorted(maps.Keys(c.Regions))
 	}
-	var places []place
+	var classes []instanceClass
 	for _, instance := range representatives(byInstance) {
 		for _, zone := range zones {
-			places = append(places, place{instance, zone})
+			classes = append(classes, instanceClass{instance, zone})
 		}
 	}
-	return places
+	return classes
 }
 
 // labels reports label rules that apply to no instance, that later rules override, or whose
 // labels no selector needs.
-func (c *checker) labels(service *config.Service, root config.Element, places []place) {
+func (c *checker) labels(service *config.Service, root config.Element, classes []instanceClass) {
 	rules := service.LabelRules()
 	list := root.Field("labels")
 	needed := neededLabels(service)
@@ -45,7 +46,7 @@
 		for _, name := range slices.Sorted(maps.Keys(rule.Labels())) {
 			item := at.Field("set").Field(name)
 			switch {
-			case !setsAnywhere(rules, i, name, places):
+			case !setsAnywhere(rules, i, name, classes):
 				c.warn(item, "has no effect: later rules set %s on every instance of this rule", name)
 			case len(needed) > 0 && !needed[name]:
 				c.warn(item, "no selector requires the label %s", name)
@@ -82,6 +83,7 @@
 	return applies
 }
 
+// zoneMatches reports whether a pattern matches any known zone.
 func (c *checker) zoneMatches(pattern string) bool {
 	for zone := range c.Regions {
 		if matches([]string{pattern}, zone) {
@@ -93,18 +95,18 @@
 
 // setsAnywhere reports whether there is an instance on which rule i sets a label and no later
 // rule does.
-func setsAnywhere(rules []config.LabelRule, i int, name string, places []place) bool {
-	return slices.ContainsFunc(places, func(p place) bool {
-		if !applies(rules[i], p) {
+func setsAnywhere(rules []config.LabelRule, i int, name string, classes []instanceClass) bool {
+	return slices.ContainsFunc(classes, func(class instanceClass) bool {
+		if !applies(rules[i], class) {
 			return false
 		}
 		return !slices.ContainsFunc(rules[i+1:], func(later config.LabelRule) bool {
 			_, sets := later.Labels()[name]
-			return sets && applies(later, p)
+			return sets && applies(later, class)
 		})
 	})
 }
 
-func applies(rule config.LabelRule, p place) bool {
-	return matches(rule.Instances(), p.instance) && matches(rule.AvailabilityZones(), p.zone)
+func applies(rule config.LabelRule, class instanceClass) bool {
+	return matches(rule.Instances(), class.instance) && matches(rule.AvailabilityZones(), class.zone)
 }
--- a/lint/lint.go
+++ b/lint/lint.go
@@ -13,10 +13,10 @@
 
 // Severities.
 const (
-	// Good means that there is no finding.
+	// Good means that there are no findings.
 	Good Severity = "good"
-	// Warning marks a document that daemons accept, and that probably does not mean what
-	// it says.
+	// Warning marks a document that daemons accept, but that probably does not do what its
+	// author intended.
 	Warning Severity = "warning"
 	// Error marks a document that daemons refuse or ignore.
 	Error Severity = "error"
@@ -70,11 +70,11 @@
 // lines.
 func Check(in Input) []Finding {
 	c := &checker{Input: in, set: config.NewSet()}
-	held := c.hold()
+	replacedBy := c.applyDocuments()
 	c.reached = reached(c.set.Routes())
 	for i, source := range in.Sources {
 		c.source = source
-		c.document(held[i])
+		c.document(replacedBy[i])
 	}
 	return c.findings
 }
@@ -90,25 +90,26 @@
 	findings []Finding
 }
 
-// hold puts the sources, and the documents in force that no source replaces, into the set.
-// It returns for each source the file that replaces it, or "".
-func (c *checker) hold() []string {
-	holder := map[string]int{}
+// applyDocuments fills the set with the sources, and with the documents in force that no source
+// replaces. It returns for each source the file that replaces it, or "".
+func (c *checker) applyDocuments() []string {
+	// newest is the index of the source that is in the set for a key.
+	newest := map[string]int{}
 	replacedBy := make([]string, len(c.Sources))
 	for i, s := range c.Sources {
 		key := s.Document.Key()
-		other, twice := holder[key]
+		other, repeated := newest[key]
 		if changed, _ := c.set.Apply(s.Document); !changed {
 			replacedBy[i] = c.Sources[other].File
 			continue
 		}
-		if twice {
+		if repeated {
 			replacedBy[other] = s.File
 		}
-		holder[key] = i
+		newest[key] = i
 	}
 	for _, d := range c.InForce {
-		if _, checked := holder[d.Key()]; !checked {
+		if _, checked := newest[d.Key()]; !checked {
 			c.set.Apply(d)
 		}
 	}
--- a/lint/pattern.go
+++ b/lint/pattern.go
@@ -2,9 +2,9 @@
 
 import "strings"
 
-// beyond continues a prefix to a name that no longer pattern matches: names have no such
-// character.
-const beyond = "\x00"
+// suffixInNoName continues a prefix to a name that no longer pattern matches: names contain no
+// such character.
+const suffixInNoName = "\x00"
 
 // matches reports whether any of the patterns matches a name. No pattern means all names.
 func matches(patterns []string, name string) bool {
@@ -26,7 +26,7 @@
 // if they match every name of the pattern.
 func representative(pattern string) string {
 	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
-		return prefix + beyond
+		return prefix + suffixInNoName
 	}
 	return pattern
 }
@@ -34,8 +34,8 @@
 // representatives returns a name for each different way in which a name can match lists of
 // patterns.
 func representatives(lists [][]string) []string {
-	names := map[string]string{classOf(lists, beyond): beyond}
-	order := []string{beyond}
+	names := map[string]string{classOf(lists, suffixInNoName): suffixInNoName}
+	order := []string{suffixInNoName}
 	for _, list := range lists {
 		for _, pattern := range list {
 			name := representative(pattern)
@@ -60,8 +60,8 @@
 	return string(class)
 }
 
-// texts joins patterns for a report.
-func texts(patterns []string) string {
+// joinPatterns joins patterns for a report.
+func joinPatterns(patterns []string) string {
 	if len(patterns) == 0 {
 		return "*"
 	}
--- a/lint/regions_test.go
+++ b/lint/regions_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// TestUnknownRegions guards against a route whose region has a slip in its name.
+// TestUnknownRegions guards against a route whose region is misspelled.
 func TestUnknownRegions(t *testing.T) {
 	table := map[string]string{"a": "north", "b": "north", "c": "south"}
 	if got := unknownRegions([]string{"south", "nord", "east", "north"}, table); !slices.Equal(got, []string{"nord", "east"}) {
--- a/lint/routes.go
+++ b/lint/routes.go
@@ -6,8 +6,8 @@
 	"pomelodoor.example/pomelodoor/config"
 )
 
-// minShare is the share of a route's requests below which a service gets hardly any: it is
-// more likely a slip in the weights than a trial.
+// minShare is the smallest share of a route's requests that is not reported. A smaller one is
+// more likely a mistake in the weights than a trial.
 const minShare = 0.001
 
 func (c *checker) routes(routes *config.Routes, root config.Element) {
@@ -15,16 +15,16 @@
 	for _, item := range root.Field("services").Items() {
 		c.upstreamSettings(routes, item)
 	}
-	byPlace, byName := map[[2]string]string{}, map[string]string{}
+	byPrefix, byName := map[[2]string]string{}, map[string]string{}
 	items := root.Field("routes").Items()
 	for i, route := range routes.All() {
 		item := items[i]
-		place := [2]string{route.Host(), route.Prefix()}
-		if first, hidden := byPlace[place]; hidden {
+		prefix := [2]string{route.Host(), route.Prefix()}
+		if first, hidden := byPrefix[prefix]; hidden {
 			c.warn(item.Field("prefix"), "the route never matches: %s has the same host and prefix and comes first", first)
 			continue
 		}
-		byPlace[place] = route.Name() + " (" + item.Path() + ")"
+		byPrefix[prefix] = route.Name() + " (" + item.Path() + ")"
 		if first, twice := byName[route.Name()]; twice {
 			c.warn(item.Field("name"), "%s has the same name, so counters and weights of the two are mixed", first)
 		}
--- a/lint/selectors.go
+++ b/lint/selectors.go
@@ -16,7 +16,7 @@
 }
 
 // hiddenCallers reports the entries of the list, and the patterns in them, whose callers an
-// earlier entry has taken.
+// earlier entry already matches.
 func (c *checker) hiddenCallers(rules []callerRule, list config.Element) {
 	for i, rule := range rules {
 		at := list.Item(i)
@@ -44,7 +44,7 @@
 }
 
 // selectors reports selectors that never apply, or that no instance can meet.
-func (c *checker) selectors(service *config.Service, root config.Element, places []place) {
+func (c *checker) selectors(service *config.Service, root config.Element, classes []instanceClass) {
 	list := root.Field("selectors")
 	if !list.Present() {
 		return
@@ -57,7 +57,7 @@
 	var rules []callerRule
 	for i, s := range selectors {
 		rules = append(rules, callerRule{name: "selector " + s.Name(), callers: s.Callers()})
-		served := slices.ContainsFunc(places, func(p place) bool { return service.Serves(s, p.instance, p.zone) })
+		served := slices.ContainsFunc(classes, func(class instanceClass) bool { return service.Serves(s, class.instance, class.zone) })
 		if !served {
 			c.warn(list.Item(i).Field("upstreams"), "no instance that the rules in labels describe has %s", labelText(s.Upstreams()))
 		}
@@ -77,7 +77,7 @@
 	}
 	var rules []callerRule
 	for i, r := range service.Priorities() {
-		rules = append(rules, callerRule{name: fmt.Sprintf("priorities[%d] (%s)", i, texts(r.Callers())), callers: r.Callers()})
+		rules = append(rules, callerRule{name: fmt.Sprintf("priorities[%d] (%s)", i, joinPatterns(r.Callers())), callers: r.Callers()})
 	}
 	c.hiddenCallers(rules, list)
 }
--- a/lint/service.go
+++ b/lint/service.go
@@ -8,9 +8,9 @@
 )
 
 func (c *checker) service(service *config.Service, root config.Element) {
-	places := c.places(service.LabelRules())
-	c.labels(service, root, places)
-	c.selectors(service, root, places)
+	classes := c.instanceClasses(service.LabelRules())
+	c.labels(service, root, classes)
+	c.selectors(service, root, classes)
 	c.priorities(service, root)
 	c.serviceRoute(service, root)
 	c.serviceLimits(service, root)
