--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -273,7 +273,7 @@
 		time.Sleep(e.Duration)
 		w.Set(platformtest.Healthy)
 		if !m.fleet.cfg.NoCold {
-			w.ChillFor(workerColdTime)
+			w.MakeCold(workerColdTime)
 		}
 		return
 	case UpstreamDrain:
