--- a/config/cold.go
+++ b/config/cold.go
@@ -12,7 +12,7 @@
 	perSecond float64
 }
 
-// Duration returns how long an upstream is cold; 0 if that is not known.
+// Duration returns how long an upstream is cold after a start; 0 if that is not known.
 func (c ColdSettings) Duration() time.Duration { return c.duration }
 
 // PerSecond returns the number of requests per second that a cold upstream accepts; 0
--- a/config/document.go
+++ b/config/document.go
@@ -191,7 +191,8 @@
 // Newer reports whether a takes precedence over b, a document with the same
 // key. The higher revision wins. If two operators used the same revision, the
 // switches document that allows fewer actions wins, or the zones document that
-// evacuates more zones, then the higher digest. For service documents any fixed order works, provided all daemons use the same.
+// evacuates more zones, then the higher digest. For service documents any fixed order
+// works, provided all daemons use the same.
 func Newer(a, b Document) bool {
 	aMajor, aMinor := a.Version()
 	bMajor, bMinor := b.Version()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -122,8 +122,8 @@
 		d.startTask(d.followStore)
 	}
 	d.logFor("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation,
-		"service", settings.Service, "availabilityZone", settings.AvailabilityZone, "region", d.self.Region, "zones", len(settings.regions), "listen", settings.Listen, "peer", settings.Peer,
-		"upstream", settings.Upstream, "bounds", settings.bounds.String())
+		"service", settings.Service, "availabilityZone", settings.AvailabilityZone, "region", d.self.Region, "zones", len(settings.regions),
+		"listen", settings.Listen, "peer", settings.Peer, "upstream", settings.Upstream, "bounds", settings.bounds.String())
 	return d, nil
 }
 
@@ -189,19 +189,27 @@
 	}); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Peer), Handle: d.servePeer, Expect: d.expectPeer, NoDate: true,
-		Guard: d.guards.daemons, Overloaded: d.refusePeerOverloaded}); err != nil {
+	if d.fromPeer, err = ingress.Start(ingress.Config{
+		Listen: s.bindAddress(s.Peer), Handle: d.servePeer, Expect: d.expectPeer, NoDate: true,
+		Guard: d.guards.daemons, Overloaded: d.refusePeerOverloaded,
+	}); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
-	if d.admin, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Admin), Handle: d.serveAdmin, Guard: d.guards.admin, Overloaded: d.refuseOverloaded}); err != nil {
+	if d.admin, err = ingress.Start(ingress.Config{
+		Listen: s.bindAddress(s.Admin), Handle: d.serveAdmin, Guard: d.guards.admin, Overloaded: d.refuseOverloaded,
+	}); err != nil {
 		return fmt.Errorf("admin: %w", err)
 	}
 	if s.Ready != "" {
-		if d.ready, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Ready), Handle: d.serveReady, Guard: d.guards.ready, Overloaded: d.refuseOverloaded}); err != nil {
+		if d.ready, err = ingress.Start(ingress.Config{
+			Listen: s.bindAddress(s.Ready), Handle: d.serveReady, Guard: d.guards.ready, Overloaded: d.refuseOverloaded,
+		}); err != nil {
 			return fmt.Errorf("ready: %w", err)
 		}
 	}
-	if d.callers, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Listen), Handle: d.serveCaller, Guard: d.guards.callers, Overloaded: d.refuseOverloaded}); err != nil {
+	if d.callers, err = ingress.Start(ingress.Config{
+		Listen: s.bindAddress(s.Listen), Handle: d.serveCaller, Guard: d.guards.callers, Overloaded: d.refuseOverloaded,
+	}); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
--- a/daemon/evacuation.go
+++ b/daemon/evacuation.go
@@ -14,7 +14,7 @@
 type evacuationFeed struct {
 	d    *Daemon
 	sent []string
-	// reported holds the versions of the odd keys that have been logged.
+	// reported holds the versions of the invalid keys that have been logged.
 	reported map[string]follow.Version
 }
 
--- a/daemon/guards.go
+++ b/daemon/guards.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// relieveInterval is how often connections that hold room for nothing are looked for.
+	// relieveInterval is how often each port is checked for connections to end.
 	relieveInterval = 200 * time.Millisecond
 	// guardLogInterval is the least time between two log lines about what was refused and
 	// ended at a port.
@@ -49,8 +49,8 @@
 	controlConns int
 }
 
-// newGuards returns the limits for a machine with so much memory in MB, 0 if it is not known,
-// and so many descriptors.
+// newGuards returns the limits for a machine with memoryMB of memory, 0 if that is not known,
+// and a process that may open the given number of descriptors.
 func newGuards(memoryMB float64, descriptors int) *guards {
 	account := memory.NewAccount(memory.AccountBytes(memoryMB))
 	guard := func(source memory.Source, conns int) *ingress.Guard {
@@ -84,7 +84,8 @@
 	return r
 }
 
-// relieve ends connections that hold room for nothing, until the daemon stops.
+// relieve ends, until the daemon stops, connections that occupy memory or a place at their port
+// without making progress.
 func (d *Daemon) relieve() {
 	ticker := time.NewTicker(relieveInterval)
 	defer ticker.Stop()
@@ -139,7 +140,7 @@
 	}
 }
 
-// refusePeerOverloaded does the same for a request that another daemon has forwarded.
+// refusePeerOverloaded answers a forwarded request for which there is no room.
 func (d *Daemon) refusePeerOverloaded(ctx *fasthttp.RequestCtx) {
 	d.refusePeerBody(ctx, ingress.ErrOverloaded)
 }
@@ -152,8 +153,8 @@
 	d.writeReport(ctx, d.withLoad(&answer{}), now)
 }
 
-// setCopy answers another daemon with a copy of the store or its changes, if there is room. The
-// body must not change any more.
+// setCopy answers another daemon with an encoded copy of the store or changes of it, if there is
+// room. The body must not be modified afterwards.
 func (d *Daemon) setCopy(ctx *fasthttp.RequestCtx, body []byte) {
 	if !ingress.ReserveAnswer(ctx, len(body)) {
 		d.refusePeerOverloaded(ctx)
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -17,7 +17,8 @@
 }
 
 // limitBodyTime sets when the body of a request must be complete: at its deadline, or after the
-// timeout of its route or service if that is earlier. Until then, the time for heads applies.
+// timeout of its route or service if that is earlier. Before this call the time limit of the
+// header applies. A body that is already complete needs no limit.
 func (d *Daemon) limitBodyTime(ctx *fasthttp.RequestCtx, request call.Request, now time.Time) {
 	if ctx.RequestBodyStream() == nil {
 		return
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -238,23 +238,18 @@
 	resp := fasthttp.AcquireResponse()
 	err := d.upstream.Do(ctx, req, resp)
 	if errors.Is(err, exchange.ErrInvalidStatus) {
-		// No response, but it may hold the proof that nothing has run.
 		d.metrics.invalidResponses.Add(1)
-		if report := d.dialect.ParseResponse(resp); report.NotRun {
-			cancel()
-			return d.shed(request, resp, report, time.Since(start))
-		}
+	}
+	report := d.parseResponse(resp, err)
+	if report.NotRun {
+		cancel()
+		return d.shed(request, resp, report, time.Since(start))
 	}
 	if err != nil {
 		defer cancel()
 		fasthttp.ReleaseResponse(resp)
 		return d.runFailed(ctx, request, err, time.Since(start))
 	}
-	report := d.dialect.ParseResponse(resp)
-	if report.NotRun {
-		cancel()
-		return d.shed(request, resp, report, time.Since(start))
-	}
 	end := node.RunEnded{
 		ID: request.ID, Outcome: call.Run, Reason: call.Answered, Status: resp.StatusCode(),
 		Reading: report.Reading, HasReading: report.HasReading,
@@ -295,6 +290,15 @@
 	return "", false
 }
 
+// parseResponse reads the headers of a response to a request that ended with err. A response
+// with an invalid status is none, but may prove that nothing has run.
+func (d *Daemon) parseResponse(resp *fasthttp.Response, err error) ingress.UpstreamReport {
+	if err != nil && !errors.Is(err, exchange.ErrInvalidStatus) {
+		return ingress.UpstreamReport{}
+	}
+	return d.dialect.ParseResponse(resp)
+}
+
 // runFailed ends a run that has brought no response.
 func (d *Daemon) runFailed(ctx context.Context, request call.Request, err error, took time.Duration) *answer {
 	outcome, reason := classifyFailure(ctx, err)
