--- a/cmd/pomelodoor/check.go
+++ b/cmd/pomelodoor/check.go
@@ -13,7 +13,7 @@
 	"pomelodoor.example/pomelodoor/memory"
 )
 
-// Errors of check, which exits with 1 only for warnings.
+// Errors of check that lead to exitUsage. Warnings alone are errFault.
 var (
 	// errRefused means that documents have errors, which the command has printed.
 	errRefused = errors.New("documents have errors")
@@ -71,26 +71,21 @@
 	return nil
 }
 
+// report checks the files.
 func (c *checkCommand) report() (checkReport, error) {
-	r := checkReport{Documents: []checkedDocument{}, Findings: []lint.Finding{}, Against: c.Against}
-	in := lint.Input{}
-	if c.MemoryMB > 0 {
-		in.AccountBytes = memory.AccountBytes(float64(c.MemoryMB))
-	}
-	var err error
-	if in.Regions, err = c.regions(); err != nil {
-		return r, err
-	}
-	if in.InForce, err = documentsInForce(c.Against); err != nil {
-		return r, err
+	in, err := c.lintInput()
+	if err != nil {
+		return checkReport{}, err
 	}
-	sources, invalid := readSources(c.Files)
-	in.Sources = sources
+	var invalid []lint.Finding
+	in.Sources, invalid = readSources(c.Files)
+	// The lists are empty in JSON, not null.
+	r := checkReport{Documents: []checkedDocument{}, Findings: []lint.Finding{}, Against: c.Against}
 	r.Findings = append(r.Findings, invalid...)
 	r.Findings = append(r.Findings, lint.Check(in)...)
 	r.Result = lint.Worst(r.Findings)
-	documents := make([]config.Document, 0, len(sources))
-	for _, s := range sources {
+	documents := make([]config.Document, 0, len(in.Sources))
+	for _, s := range in.Sources {
 		d := s.Document
 		documents = append(documents, d)
 		if errorCount, warnings := count(r.Findings, s.File); errorCount == 0 {
@@ -105,6 +100,18 @@
 	return r, nil
 }
 
+// lintInput returns what the flags describe, without the sources.
+func (c *checkCommand) lintInput() (in lint.Input, err error) {
+	if c.MemoryMB > 0 {
+		in.AccountBytes = memory.AccountBytes(float64(c.MemoryMB))
+	}
+	if in.Regions, err = c.regions(); err != nil {
+		return in, err
+	}
+	in.InForce, err = documentsInForce(c.Against)
+	return in, err
+}
+
 // regions returns the table of --zones, or nil without it.
 func (c *checkCommand) regions() (map[string]string, error) {
 	if c.Zones == "" {
--- a/cmd/pomelodoor/conditions.go
+++ b/cmd/pomelodoor/conditions.go
@@ -43,9 +43,8 @@
 	return groups
 }
 
-// writeConditions writes a line for each of the conditions of a fleet that daemons are in:
-// evacuated zones, limited cold upstreams, shortages and eras of the store. It writes nothing
-// about the others.
+// writeConditions writes a line for each of these conditions that any daemon is in: evacuated
+// zones, limited cold upstreams, shortages, and known eras of the store.
 func writeConditions(out io.Writer, statuses map[string]node.Status) error {
 	for _, line := range []string{
 		evacuationLine(statuses), coldLine(statuses), shortageLine(statuses), eraLine(statuses),
--- a/cmd/pomelodoor/documents.go
+++ b/cmd/pomelodoor/documents.go
@@ -19,7 +19,7 @@
 // document takes 13 s over a link of 10 Mbit/s.
 const documentsTimeout = time.Minute
 
-// daemonScheme precedes the admin address of a daemon in --against.
+// daemonScheme distinguishes the admin address of a daemon from a path in --against.
 const daemonScheme = "http://"
 
 var errTruncated = errors.New("incomplete list of documents")
@@ -32,18 +32,17 @@
 	} `json:"documents"`
 }
 
-// documentsInForce returns the documents of a file, a directory or a daemon. Without a place
-// it returns none.
-func documentsInForce(place string) ([]config.Document, error) {
-	if place == "" {
+// documentsInForce returns the documents of a file, a directory or a daemon; none for "".
+func documentsInForce(source string) ([]config.Document, error) {
+	if source == "" {
 		return nil, nil
 	}
 	var documents []config.Document
 	var err error
-	if address, ok := strings.CutPrefix(place, daemonScheme); ok {
+	if address, ok := strings.CutPrefix(source, daemonScheme); ok {
 		documents, err = queryDocuments(strings.TrimSuffix(address, "/"))
 	} else {
-		documents, err = readDocuments(place)
+		documents, err = readDocuments(source)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: --against: %w", errCheck, err)
@@ -111,7 +110,7 @@
 	return files, nil
 }
 
-// printLine prints a line. Control characters of names in documents would garble it.
+// printLine prints a line, with control characters of names in documents replaced.
 func printLine(out io.Writer, text string) {
 	text = strings.Map(func(c rune) rune {
 		if unicode.IsControl(c) {
--- a/cmd/pomelodoor/main.go
+++ b/cmd/pomelodoor/main.go
@@ -24,9 +24,9 @@
 // The exit codes.
 const (
 	exitOK = 0
-	// exitFault means that a command found faults; check exits with it for warnings only.
+	// exitFault means that a command found faults. For check it means warnings without errors.
 	exitFault = 1
-	// exitUsage means wrong arguments or settings, or for check errors in documents.
+	// exitUsage means wrong arguments or settings. For check it also means errors in documents.
 	exitUsage = 2
 )
 
