--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"pomelodoor.example/pomelodoor/burn"
 	"pomelodoor.example/pomelodoor/exchange"
+	"pomelodoor.example/pomelodoor/heartbeat"
 	"pomelodoor.example/pomelodoor/ingress"
 	"pomelodoor.example/pomelodoor/membership"
 	"pomelodoor.example/pomelodoor/memory"
@@ -86,7 +87,8 @@
 	admin    *ingress.Server
 	ready    *ingress.Server
 
-	heartbeat heartbeat
+	// heartbeat tells when the process did not run.
+	heartbeat *heartbeat.Monitor
 	metrics   *metrics
 	burnMu    sync.Mutex
 	burn      *burn.Burn
@@ -120,8 +122,8 @@
 		d.startTask(d.followStore)
 	}
 	d.logFor("daemon").Info("The daemon has started.", "instance", settings.Instance, "incarnation", d.incarnation,
-		"service", settings.Service, "availabilityZone", settings.AvailabilityZone, "region", d.self.Region, "zones", len(settings.regions), "listen", settings.Listen, "peer", settings.Peer,
-		"upstream", settings.Upstream, "bounds", settings.bounds.String())
+		"service", settings.Service, "availabilityZone", settings.AvailabilityZone, "region", d.self.Region, "zones", len(settings.regions),
+		"listen", settings.Listen, "peer", settings.Peer, "upstream", settings.Upstream, "bounds", settings.bounds.String())
 	return d, nil
 }
 
@@ -144,6 +146,8 @@
 	if overrides.Dial == nil && settings.Bind != "" {
 		overrides.Dial = exchange.DialFrom(settings.Bind)
 	}
+	monitor := &heartbeat.Monitor{}
+	monitor.Beat(started)
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: settings, log: logger, lineLimiter: overrides.LineLimiter, self: self, incarnation: incarnation, started: started,
@@ -153,7 +157,8 @@
 			Direct:    settings.direct(), AssumedActions: settings.assumedActions(), Retry: settings.bounds.retry(),
 			ProbesPerSecond: settings.bounds.ProbesPerSecond, ColdBound: settings.bounds.cold(),
 		}),
-		calls: newMailboxes(), runs: newMailboxes(), reserved: newReservations(), watch: ingress.NewDisconnectWatcher(),
+		calls: newMailboxes(), runs: newMailboxes(), reserved: newReservations(),
+		heartbeat: monitor, watch: ingress.NewDisconnectWatcher(monitor),
 		guards: newGuards(settings.MemoryMB, maxDescriptors()),
 		upstream: exchange.New(exchange.Config{
 			Address: settings.Upstream, MaxConns: defaultUpstreamConns,
@@ -168,8 +173,6 @@
 		stopping:  make(chan struct{}),
 		ctx:       ctx, stop: stop,
 	}
-	d.heartbeat.beat(started)
-	d.watch.Beat(started)
 	d.store = platform.New(platform.Config{Address: settings.Store, ReportOdd: d.logOddItem})
 	d.burn = burn.New(burn.Config{Instance: settings.Instance, ServiceLevel: d.serviceLevel})
 	d.metrics = newMetrics(d)
@@ -186,19 +189,27 @@
 	}); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	if d.fromPeer, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Peer), Handle: d.servePeer, Expect: d.expectPeer, NoDate: true,
-		Guard: d.guards.daemons, Overloaded: d.refusePeerOverloaded}); err != nil {
+	if d.fromPeer, err = ingress.Start(ingress.Config{
+		Listen: s.bindAddress(s.Peer), Handle: d.servePeer, Expect: d.expectPeer, NoDate: true,
+		Guard: d.guards.daemons, Overloaded: d.refusePeerOverloaded,
+	}); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
-	if d.admin, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Admin), Handle: d.serveAdmin, Guard: d.guards.admin, Overloaded: d.refuseOverloaded}); err != nil {
+	if d.admin, err = ingress.Start(ingress.Config{
+		Listen: s.bindAddress(s.Admin), Handle: d.serveAdmin, Guard: d.guards.admin, Overloaded: d.refuseOverloaded,
+	}); err != nil {
 		return fmt.Errorf("admin: %w", err)
 	}
 	if s.Ready != "" {
-		if d.ready, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Ready), Handle: d.serveReady, Guard: d.guards.ready, Overloaded: d.refuseOverloaded}); err != nil {
+		if d.ready, err = ingress.Start(ingress.Config{
+			Listen: s.bindAddress(s.Ready), Handle: d.serveReady, Guard: d.guards.ready, Overloaded: d.refuseOverloaded,
+		}); err != nil {
 			return fmt.Errorf("ready: %w", err)
 		}
 	}
-	if d.callers, err = ingress.Start(ingress.Config{Listen: s.bindAddress(s.Listen), Handle: d.serveCaller, Guard: d.guards.callers, Overloaded: d.refuseOverloaded}); err != nil {
+	if d.callers, err = ingress.Start(ingress.Config{
+		Listen: s.bindAddress(s.Listen), Handle: d.serveCaller, Guard: d.guards.callers, Overloaded: d.refuseOverloaded,
+	}); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
@@ -314,8 +325,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			d.heartbeat.beat(time.Now())
-			d.watch.Beat(time.Now())
+			d.heartbeat.Beat(time.Now())
 			d.update(node.Tick{})
 			d.queryNeighbour(time.Now())
 		case <-d.ctx.Done():
