memory: reserve nothing on a released hold

A response to an attempt that is no longer needed may be read after its request has ended. MayBuffer then reserved bytes on the hold of that request, which nothing released any more. Reserve returns false after ReleaseAll, so such a response is streamed. TestReleasedHoldReservesNothing failed before.

--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -109,3 +109,17 @@
 		t.Errorf("soft limit of %d bytes where the memory is not known, want none", n)
 	}
 }
+
+// TestReleasedHoldReservesNothing guards against bytes that are never given back: a response to
+// an attempt that is no longer needed may arrive after its request has ended.
+func TestReleasedHoldReservesNothing(t *testing.T) {
+	account := memory.NewAccount(mB)
+	hold := account.Open(memory.Callers)
+	hold.ReleaseAll()
+	if hold.Reserve(memory.Answers, kB) {
+		t.Error("a released hold has reserved bytes")
+	}
+	if used := account.Status().Used; used != 0 {
+		t.Errorf("%d bytes are in use, want 0", used)
+	}
+}
--- a/memory/hold.go
+++ b/memory/hold.go
@@ -8,6 +8,8 @@
 	parts []part
 	// variable is the sum of the bodies and the answers.
 	variable int64
+	// closed is set by ReleaseAll. account.mu protects it and variable.
+	closed bool
 }
 
 type part struct {
@@ -15,11 +17,15 @@
 	bytes int64
 }
 
-// Reserve reserves n bytes more, or returns false if there is no room for them.
+// Reserve reserves n bytes more. It returns false if there is no room for them, or after
+// ReleaseAll, since nothing would release them then.
 func (h *Hold) Reserve(kind Kind, n int64) bool {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if h.closed {
+		return false
+	}
 	if !a.fits(h.source, h.variable, n) {
 		a.refused[kind]++
 		return false
@@ -41,7 +47,7 @@
 	}
 }
 
-// ReleaseAll gives back everything. It may be called more than once.
+// ReleaseAll gives back everything and closes the hold. It may be called more than once.
 func (h *Hold) ReleaseAll() {
 	a := h.account
 	a.mu.Lock()
@@ -49,7 +55,7 @@
 	for _, p := range h.parts {
 		a.add(h.source, p.kind, -p.bytes)
 	}
-	h.parts, h.variable = nil, 0
+	h.parts, h.variable, h.closed = nil, 0, true
 }
 
 // Bytes returns how many bytes are reserved.
