admit: end the cold baseline when the cold limit is withdrawn

A limit that was withdrawn while the last probe had found the upstream cold left the baseline of the pace at that of a cold upstream for good, because no later probe is applied without a limit. TestPaceAfterColdLimit failed before.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -243,7 +243,7 @@
 	g.limits = limits
 	g.limits.Slots, g.limits.Queue = max(limits.Slots, 0), max(limits.Queue, 0)
 	g.cold.set(limits.ColdLimit, now)
-	g.pace.cold = limits.Cold || g.cold.warmth == cold
+	g.pace.cold = limits.Cold || g.cold.enabled() && g.cold.warmth == cold
 	g.queue.reorder(limits.Shed)
 	actions = append(actions, g.fill(now)...)
 	for g.queue.len() > g.limits.Queue {
--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -271,3 +271,20 @@
 		})
 	}
 }
+
+// TestPaceAfterColdLimit guards against a gate that judges the pace of its upstream as that of a
+// cold one for good, if the limit is withdrawn while the upstream is cold.
+func TestPaceAfterColdLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := admit.Limits{Slots: 2, Queue: 10, Shed: true, Paced: true, ColdLimit: admit.NewColdLimit(13, 27.5)}
+	g := admit.New(admit.Config{Slots: 2, Queue: 10, Shed: true})
+	g.SetLimits(limits, now)
+	g.FoundCold(time.Second, now)
+	limits.ColdLimit = admit.ColdLimit{}
+	g.SetLimits(limits, now)
+	g.Arrive(call.Request{ID: "a", ExpectedWork: 100 * time.Millisecond}, now)
+	g.Measured(2*admit.NominalPace, now)
+	if _, slow := g.RemeasureAt(now); !slow {
+		t.Error("the upstream does not count as slow at twice the nominal pace")
+	}
+}
