--- a/admit/admit.go
+++ b/admit/admit.go
@@ -120,7 +120,7 @@
 	cold        coldLimiter
 	planner     planner
 	floor       floor
-	raised      uint64
+	promoted    uint64
 	draining    bool
 	evacuated   bool
 	lastEvent   time.Time
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -11,8 +11,8 @@
 type queuedCall struct {
 	req      call.Request
 	sequence uint64
-	// raised is set for a call that goes first because its route is below its floor.
-	raised bool
+	// promoted is set for a call that goes first because its route is below its floor.
+	promoted bool
 }
 
 // queue is a list of waiting calls in the order in which they are served. Its length
@@ -82,9 +82,9 @@
 	return len(q.calls)
 }
 
-// raise moves a call to the class of raised calls.
-func (q *queue) raise(callID string) {
-	q.calls[q.index(callID)].raised = true
+// promote moves a call to the class of promoted calls.
+func (q *queue) promote(callID string) {
+	q.calls[q.index(callID)].promoted = true
 	slices.SortFunc(q.calls, q.compare)
 }
 
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -26,8 +26,8 @@
 	// nestedClass is that of calls that a running request makes. Refusing them wastes the
 	// work of that request.
 	nestedClass = -2
-	// raisedClass is that of calls whose route is below its floor.
-	raisedClass = -1
+	// promotedClass is that of calls whose route is below its floor.
+	promotedClass = -1
 )
 
 func defaultDiscipline() discipline {
@@ -38,8 +38,8 @@
 	switch {
 	case w.req.Nested:
 		return nestedClass
-	case w.raised:
-		return raisedClass
+	case w.promoted:
+		return promotedClass
 	}
 	return w.req.Priority.Rank()
 }
@@ -68,7 +68,7 @@
 		return nil
 	}
 	late := g.lateCalls(now)
-	for g.raiseOne(late, now) {
+	for g.promoteOne(late, now) {
 		late = g.lateCalls(now)
 	}
 	var actions []Action
@@ -104,7 +104,7 @@
 			if !jobs[i].late {
 				continue
 			}
-			if (!ahead || w.raised) && meetsDeadline(w.req, now.Add(free[0]), jobs[i].work) {
+			if (!ahead || w.promoted) && meetsDeadline(w.req, now.Add(free[0]), jobs[i].work) {
 				free.take(jobs[i].work)
 				ahead = true
 				continue
@@ -156,26 +156,26 @@
 	return req.Deadline.IsZero() || !start.Add(max(work-req.WorkSpread, 0)).After(req.Deadline)
 }
 
-// raiseOne raises the first of the late calls whose route is below its floor, and reports
+// promoteOne promotes the first of the late calls whose route is below its floor, and reports
 // whether there is one.
-func (g *Gate) raiseOne(late []lateCall, now time.Time) bool {
+func (g *Gate) promoteOne(late []lateCall, now time.Time) bool {
 	for _, l := range late {
-		if l.meetsDeadline && g.mayRaise(l.queuedCall, now) {
-			g.queue.raise(l.req.ID)
-			g.raised++
+		if l.meetsDeadline && g.mayPromote(l.queuedCall, now) {
+			g.queue.promote(l.req.ID)
+			g.promoted++
 			return true
 		}
 	}
 	return false
 }
 
-func (g *Gate) mayRaise(w queuedCall, now time.Time) bool {
-	if w.raised || w.req.Nested {
+func (g *Gate) mayPromote(w queuedCall, now time.Time) bool {
+	if w.promoted || w.req.Nested {
 		return false
 	}
 	pending := 0
 	for _, other := range g.queue.calls {
-		if other.raised && other.req.Route == w.req.Route {
+		if other.promoted && other.req.Route == w.req.Route {
 			pending++
 		}
 	}
@@ -201,9 +201,9 @@
 // than it does, or callers would displace each other endlessly.
 func (g *Gate) evict(req call.Request, now time.Time) Action {
 	victim := g.evicted(req)
-	if g.mayRaise(victim, now) {
-		g.queue.raise(victim.req.ID)
-		g.raised++
+	if g.mayPromote(victim, now) {
+		g.queue.promote(victim.req.ID)
+		g.promoted++
 		victim = g.evicted(req)
 	}
 	g.queue.remove(victim.req.ID)
@@ -228,5 +228,5 @@
 	return g.queue.yield(w.req, g.pace.expectedWork(w.req))
 }
 
-// Raised returns how many calls were served first because their route was below its floor.
-func (g *Gate) Raised() uint64 { return g.raised }
+// Promoted returns how many calls were served first because their route was below its floor.
+func (g *Gate) Promoted() uint64 { return g.promoted }
--- a/node/shortage.go
+++ b/node/shortage.go
@@ -22,9 +22,9 @@
 	Shortage bool `json:"shortage"`
 	// Refusals counts the requests that were refused or handed on, by reason and rank.
 	Refusals map[call.Reason]map[int]uint64 `json:"refusals"`
-	// Raised counts the requests that went first because their route was served too
+	// Promoted counts the requests that went first because their route was served too
 	// little.
-	Raised uint64 `json:"raised"`
+	Promoted uint64 `json:"promoted"`
 }
 
 // shortage counts the requests that the gate of the local upstream refuses.
@@ -64,7 +64,7 @@
 	for reason, byRank := range n.shortage.refusals {
 		refusals[reason] = maps.Clone(byRank)
 	}
-	return Shedding{Shortage: n.shortage.present(now), Refusals: refusals, Raised: n.gate.Raised()}
+	return Shedding{Shortage: n.shortage.present(now), Refusals: refusals, Promoted: n.gate.Promoted()}
 }
 
 // logShortage logs when a shortage begins or ends.
