--- a/admit/cold.go
+++ b/admit/cold.go
@@ -90,14 +90,14 @@
 	// warmRenewAfter is the age from which the knowledge that the upstream is warm is
 	// renewed while calls start.
 	warmRenewAfter = warmTTL / 2
-	// idleRenewAfter is the same while none do, so that load reports say soon that an
+	// idleRenewAfter is that age while no calls start. It lets load reports say soon that an
 	// upstream without calls has become cold.
 	idleRenewAfter = time.Second
 )
 
 // probeWarmth requests a probe if it is time to learn whether the upstream is cold: at
 // intervals while it is not known to be warm, before that knowledge expires while calls
-// start, and now and then while none do.
+// start, and every idleRenewAfter while none do.
 func (g *Gate) probeWarmth(now time.Time) []Action {
 	l := &g.cold
 	if !l.enabled() || g.draining || g.evacuated || !l.mayProbe(now) {
--- a/admit/cold_limit.go
+++ b/admit/cold_limit.go
@@ -105,6 +105,8 @@
 	return !l.inForce(now) && (!l.enabled() || unconfirmed(l.starts) < l.limit.Unconfirmed)
 }
 
+// unconfirmed counts what was sent while the limit was not in force, and not dropped since by
+// a later probe that found the upstream warm.
 func unconfirmed(list []sending) int {
 	n := 0
 	for _, s := range list {
@@ -162,7 +164,7 @@
 	return at.Sub(l.since) <= coldWindow && len(starts)+len(l.probes) >= l.limit.FirstSecond
 }
 
-// gap is the time between two evenly spaced starts.
+// gap returns the time between two evenly spaced starts.
 func (l *coldLimiter) gap() time.Duration { return coldWindow / time.Duration(l.limit.Starts) }
 
 func later(a, b time.Time) time.Time {
@@ -220,6 +222,7 @@
 	l.starts, l.probes = dropConfirmed(l.starts, sentAt), dropConfirmed(l.probes, sentAt)
 }
 
+// dropConfirmed drops what was sent until sentAt while the limit was not in force.
 func dropConfirmed(list []sending, sentAt time.Time) []sending {
 	kept := make([]sending, 0, len(list))
 	for _, s := range list {
@@ -240,8 +243,8 @@
 	l.warmth, l.forgottenAt = warmthUnknown, now
 }
 
-// wait returns the expected wait of a call behind the given number of others, as far as
-// the limit causes it. While the upstream is known to be warm, the next probe comes
+// wait returns how long the limit is expected to hold a call behind the given number of
+// others. While the upstream is known to be warm, the next probe comes
 // before the wait is noticeable.
 func (l *coldLimiter) wait(ahead int, now time.Time) time.Duration {
 	if !l.inForce(now) {
--- a/admit/decide.go
+++ b/admit/decide.go
@@ -113,6 +113,7 @@
 	return max(g.predictSlotWait(ahead, now), g.cold.wait(ahead, now))
 }
 
+// predictSlotWait returns the expected wait until a slot is free for the call.
 func (g *Gate) predictSlotWait(ahead int, now time.Time) time.Duration {
 	if !g.limits.Paced || g.limits.Slots == 0 {
 		return g.averageWait(ahead)
@@ -167,10 +168,10 @@
 // fill starts queued calls while slots are free. advance has already removed
 // expired calls.
 func (g *Gate) fill(now time.Time) []Action {
-	var actions []Action
 	if g.limits.Paced {
 		return append(g.fillPaced(now), g.probeWarmth(now)...)
 	}
+	var actions []Action
 	for !g.draining && g.mayStart(now) && g.queue.len() > 0 {
 		actions = append(actions, g.start(g.queue.popFirst().req, now))
 	}
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -158,10 +158,10 @@
 	return Action{Kind: Measure}
 }
 
-// fillPaced refuses queued calls that give way, and starts others while slots are free
-// and the pace permits.
+// fillPaced refuses queued calls that cannot be in time, and starts others while slots are
+// free and the pace permits.
 func (g *Gate) fillPaced(now time.Time) []Action {
-	return append(g.giveWay(now), g.startPaced(now)...)
+	return append(g.shedLate(now), g.startPaced(now)...)
 }
 
 func (g *Gate) startPaced(now time.Time) []Action {
--- a/admit/plan.go
+++ b/admit/plan.go
@@ -10,9 +10,9 @@
 	work time.Duration
 	// latest is when the call must end to be in time, or noLimit.
 	latest time.Duration
-	// yield decides which call gives way: the one with the greatest does first.
-	yield float64
-	late  bool
+	// shedKey decides which call is refused: the one with the greatest is first.
+	shedKey float64
+	late    bool
 }
 
 const noLimit = time.Duration(1<<63 - 1)
@@ -52,9 +52,9 @@
 
 // plan marks the late ones of jobs, which are in the order in which they are served, so
 // that as many others as possible are in time (the algorithm of Moore and Hodgson): if a
-// job would be late, the one that yields most of those up to it is. With several slots
-// this is a heuristic. free is when the slots are free, and changes to when they are free
-// after the jobs that are in time.
+// job would be late, the one with the greatest shedKey of those up to it is late instead.
+// With several slots this is a heuristic. free is when the slots are free, and changes to
+// when they are free after the jobs that are in time.
 func (p *planner) plan(jobs []job, free slotTimes) {
 	p.planned = append(p.planned[:0], free...)
 	for i := range jobs {
@@ -71,13 +71,13 @@
 	copy(free, p.planned)
 }
 
-// displace makes the last job be in time in place of the one that yields most, if that
-// is another one and its removal suffices.
+// displace makes the last job be in time in place of the one with the greatest shedKey, if
+// that is another one and its removal suffices.
 func (p *planner) displace(jobs []job, free slotTimes) {
 	last := len(jobs) - 1
 	victim := last
 	for i := range jobs[:last] {
-		if !jobs[i].late && jobs[i].yield > jobs[victim].yield {
+		if !jobs[i].late && jobs[i].shedKey > jobs[victim].shedKey {
 			victim = i
 		}
 	}
--- a/admit/shed.go
+++ b/admit/shed.go
@@ -2,21 +2,22 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"pomelodoor.example/pomelodoor/call"
 )
 
-// discipline decides which calls are served first and which give way. Tests compare
+// discipline decides which calls are served first and which are refused. Tests compare
 // others.
 type discipline struct {
 	// class is compared first: a call of a later class never delays one of an earlier
-	// class, nor makes it give way.
+	// class, nor causes it to be refused.
 	class func(w queuedCall) int
 	// within orders the calls of one class.
 	within func(a, b call.Request) int
-	// yield decides which call of a class gives way: the one with the greatest does.
-	yield func(req call.Request, work time.Duration) float64
+	// shedKey decides which call of a class is refused: the one with the greatest is.
+	shedKey func(req call.Request, work time.Duration) float64
 	// floorShare is the part of the share of all calls that each route is served at least.
 	floorShare float64
 }
@@ -31,7 +32,7 @@
 )
 
 func defaultDiscipline() discipline {
-	return discipline{class: classOf, within: compareTargets, yield: yieldOf, floorShare: floorShare}
+	return discipline{class: classOf, within: compareTargets, shedKey: shedByWork, floorShare: floorShare}
 }
 
 func classOf(w queuedCall) int {
@@ -49,18 +50,17 @@
 	return cmp.Or(compareDeadlines(a.Target, b.Target), compareDeadlines(a.Deadline, b.Deadline))
 }
 
-// yieldOf makes the call with the most work give way, which leaves the most others in
-// time.
-func yieldOf(_ call.Request, work time.Duration) float64 { return float64(work) }
+// shedByWork has the call with the most work refused, which leaves the most others in time.
+func shedByWork(_ call.Request, work time.Duration) float64 { return float64(work) }
 
-// sheds reports whether calls give way according to a plan, which needs the expected work
-// of each.
+// sheds reports whether calls are refused according to a plan, which needs the expected
+// work of each.
 func (g *Gate) sheds() bool { return g.limits.Shed && g.limits.Paced && g.limits.Slots > 0 }
 
-// giveWay refuses the queued calls that cannot be in time as soon as that is known, under
+// shedLate refuses the queued calls that cannot be in time as soon as that is known, under
 // a load beyond the capacity of the upstream. A call of a route below its floor is served
 // first instead.
-func (g *Gate) giveWay(now time.Time) []Action {
+func (g *Gate) shedLate(now time.Time) []Action {
 	if !g.sheds() || g.draining || g.queue.len() == 0 {
 		return nil
 	}
@@ -86,8 +86,8 @@
 	meetsDeadline bool
 }
 
-// lateCalls returns the queued calls to be refused. Of each class, a call that is late is
-// kept if its deadline can be met and no call of that class or an earlier one is ahead.
+// lateCalls returns the queued calls to be refused. A late call is kept if its deadline can
+// be met, and if it was promoted or no call of its class or an earlier one is ahead.
 func (g *Gate) lateCalls(now time.Time) []lateCall {
 	free, jobs := g.planInput(now)
 	first := free[0]
@@ -96,20 +96,18 @@
 	for from, to := 0, 0; from < len(jobs); from = to {
 		to = g.queue.classEnd(from)
 		g.planner.plan(jobs[from:to], free)
-		for i := from; i < to; i++ {
-			ahead = ahead || !jobs[i].late
-		}
-		for i := from; i < to; i++ {
-			w := g.queue.calls[i]
-			if !jobs[i].late {
+		ahead = ahead || slices.ContainsFunc(jobs[from:to], func(j job) bool { return !j.late })
+		for i, j := range jobs[from:to] {
+			if !j.late {
 				continue
 			}
-			if (!ahead || w.promoted) && meetsDeadline(w.req, now.Add(free[0]), jobs[i].work) {
-				free.take(jobs[i].work)
+			w := g.queue.calls[from+i]
+			if (!ahead || w.promoted) && meetsDeadline(w.req, now.Add(free[0]), j.work) {
+				free.take(j.work)
 				ahead = true
 				continue
 			}
-			late = append(late, lateCall{w, meetsDeadline(w.req, now.Add(first), jobs[i].work)})
+			late = append(late, lateCall{w, meetsDeadline(w.req, now.Add(first), j.work)})
 		}
 	}
 	return late
@@ -132,7 +130,7 @@
 	}
 	for _, w := range g.queue.calls {
 		work := cmp.Or(g.pace.expectedWork(w.req), g.serviceTime.mean)
-		j := job{work: work, latest: noLimit, yield: g.queue.yield(w.req, work)}
+		j := job{work: work, latest: noLimit, shedKey: g.queue.shedKey(w.req, work)}
 		if latest := latestEnd(w.req); !latest.IsZero() {
 			j.latest = latest.Sub(now)
 		}
@@ -161,14 +159,15 @@
 func (g *Gate) promoteOne(late []lateCall, now time.Time) bool {
 	for _, l := range late {
 		if l.meetsDeadline && g.mayPromote(l.queuedCall, now) {
-			g.queue.promote(l.req.ID)
-			g.promoted++
+			g.promote(l.req.ID)
 			return true
 		}
 	}
 	return false
 }
 
+// mayPromote reports whether a call is neither promoted nor nested, and its route is below
+// its floor.
 func (g *Gate) mayPromote(w queuedCall, now time.Time) bool {
 	if w.promoted || w.req.Nested {
 		return false
@@ -182,11 +181,17 @@
 	return g.floor.below(w.req.Route, g.queue.floorShare, pending, now)
 }
 
-// enqueuePlanned queues a call and refuses those that give way, which may be the call
-// itself.
+// promote moves a queued call ahead of the ranks, and counts it.
+func (g *Gate) promote(callID string) {
+	g.queue.promote(callID)
+	g.promoted++
+}
+
+// enqueuePlanned queues a call and refuses those that cannot be in time, which may be the
+// call itself.
 func (g *Gate) enqueuePlanned(req call.Request, now time.Time) []Action {
 	g.queue.push(req)
-	actions := g.giveWay(now)
+	actions := g.shedLate(now)
 	if g.queue.has(req.ID) && g.queue.len() > g.limits.Queue {
 		actions = append(actions, g.evict(req, now))
 	}
@@ -197,35 +202,35 @@
 }
 
 // evict refuses a call because the queue is full after req has been added: one of the
-// last class, the one that yields most. req does not displace a call that yields no more
-// than it does, or callers would displace each other endlessly.
+// last class, the one with the greatest shedKey. req does not displace a call whose shedKey
+// is no greater than its own, or callers would displace each other endlessly.
 func (g *Gate) evict(req call.Request, now time.Time) Action {
-	victim := g.evicted(req)
+	victim := g.evictionVictim(req)
 	if g.mayPromote(victim, now) {
-		g.queue.promote(victim.req.ID)
-		g.promoted++
-		victim = g.evicted(req)
+		g.promote(victim.req.ID)
+		victim = g.evictionVictim(req)
 	}
 	g.queue.remove(victim.req.ID)
 	return refuse(victim.req.ID, call.Overloaded)
 }
 
-func (g *Gate) evicted(req call.Request) queuedCall {
+// evictionVictim returns the call to refuse because the queue is full.
+func (g *Gate) evictionVictim(req call.Request) queuedCall {
 	victim := g.queue.last()
 	class := g.queue.class(victim)
 	if own := g.queue.calls[g.queue.index(req.ID)]; g.queue.class(own) == class {
 		victim = own
 	}
 	for _, w := range g.queue.calls {
-		if g.queue.class(w) == class && g.yield(w) > g.yield(victim) {
+		if g.queue.class(w) == class && g.shedKey(w) > g.shedKey(victim) {
 			victim = w
 		}
 	}
 	return victim
 }
 
-func (g *Gate) yield(w queuedCall) float64 {
-	return g.queue.yield(w.req, g.pace.expectedWork(w.req))
+func (g *Gate) shedKey(w queuedCall) float64 {
+	return g.queue.shedKey(w.req, g.pace.expectedWork(w.req))
 }
 
 // Promoted returns how many calls were served first because their route was below its floor.
--- a/admit/shed_test.go
+++ b/admit/shed_test.go
@@ -39,7 +39,7 @@
 		var jobs []job
 		for range rapid.IntRange(0, 9).Draw(t, "calls") {
 			work := ms(rapid.IntRange(1, 50).Draw(t, "work"))
-			jobs = append(jobs, job{work: work, latest: ms(rapid.IntRange(1, 150).Draw(t, "latest")), yield: float64(work)})
+			jobs = append(jobs, job{work: work, latest: ms(rapid.IntRange(1, 150).Draw(t, "latest")), shedKey: float64(work)})
 		}
 		slices.SortFunc(jobs, func(a, b job) int { return int(a.latest - b.latest) })
 		var p planner
@@ -152,7 +152,7 @@
 }
 
 // TestLowerRanksChangeNothing guards against calls of a lower rank that make one of a higher
-// rank give way: what is refused of a rank is the same without the lower ranks.
+// rank refused: what is refused of a rank is the same without the lower ranks.
 func TestLowerRanksChangeNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newShedModel(t, false)
--- a/admit/table_test.go
+++ b/admit/table_test.go
@@ -24,19 +24,19 @@
 	nested bool
 }
 
-func noClass(queuedCall) int                                { return 0 }
-func noYield(call.Request, time.Duration) float64           { return 0 }
-func simWeight(req call.Request) float64                    { return float64(int(4) >> req.Priority.Rank()) }
-func costOfDelay(req call.Request) float64                  { return simWeight(req) / float64(req.ExpectedWork) }
-func byCostOfDelay(a, b call.Request) int                   { return cmp.Compare(costOfDelay(b), costOfDelay(a)) }
-func weightedYield(r call.Request, w time.Duration) float64 { return float64(w) / simWeight(r) }
+func noClass(queuedCall) int                               { return 0 }
+func noShedKey(call.Request, time.Duration) float64        { return 0 }
+func simWeight(req call.Request) float64                   { return float64(int(4) >> req.Priority.Rank()) }
+func costOfDelay(req call.Request) float64                 { return simWeight(req) / float64(req.ExpectedWork) }
+func byCostOfDelay(a, b call.Request) int                  { return cmp.Compare(costOfDelay(b), costOfDelay(a)) }
+func workByWeight(r call.Request, w time.Duration) float64 { return float64(w) / simWeight(r) }
 
 var simPolicies = map[string]simPolicy{
-	"1 strict rank":                 {func(d *discipline) { d.yield, d.floorShare = noYield, 0 }, false},
-	"2 earliest target":             {func(d *discipline) { d.class, d.yield, d.floorShare = noClass, noYield, 0 }, false},
-	"3 cost of delay by work":       {func(d *discipline) { d.class, d.within, d.yield, d.floorShare = noClass, byCostOfDelay, noYield, 0 }, false},
+	"1 strict rank":                 {func(d *discipline) { d.shedKey, d.floorShare = noShedKey, 0 }, false},
+	"2 earliest target":             {func(d *discipline) { d.class, d.shedKey, d.floorShare = noClass, noShedKey, 0 }, false},
+	"3 cost of delay by work":       {func(d *discipline) { d.class, d.within, d.shedKey, d.floorShare = noClass, byCostOfDelay, noShedKey, 0 }, false},
 	"4 feasible set":                {func(d *discipline) { d.class, d.floorShare = noClass, 0 }, false},
-	"5 weighted feasible set":       {func(d *discipline) { d.class, d.yield, d.floorShare = noClass, weightedYield, 0 }, false},
+	"5 weighted feasible set":       {func(d *discipline) { d.class, d.shedKey, d.floorShare = noClass, workByWeight, 0 }, false},
 	"6 equal shares":                {func(d *discipline) { d.floorShare = 1 }, false},
 	"7 feasible set within ranks":   {func(d *discipline) { d.floorShare = 0 }, false},
 	"8 the same, nested first":      {func(d *discipline) { d.floorShare = 0 }, true},
