ingress, memory: name what ends stalled connections for what it does

Relieve, leastUseful and usefulness become EndStalled, evictionCandidate and evictionOrder, and the maps of Guard say what they relate. discardTrailers loses a branch for bodies of known length, which never reach it.

--- a/daemon/guards.go
+++ b/daemon/guards.go
@@ -94,7 +94,7 @@
 		select {
 		case <-ticker.C:
 			for _, guard := range d.guards.byPort() {
-				guard.Relieve()
+				guard.EndStalled()
 			}
 			if now := time.Now(); now.Sub(loggedAt) >= guardLogInterval {
 				loggedAt = now
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -72,7 +72,7 @@
 func readChunked(h *fasthttp.RequestHeader, reader *bodyReader, maxBytes int64) (*Body, error) {
 	var parts [][]byte
 	length := 0
-	err := keepHeaders(h, func() (err error) {
+	err := discardTrailers(h, func() (err error) {
 		parts, length, err = readUnknown(reader, reader.transfer)
 		return err
 	})
--- a/ingress/body_reading.go
+++ b/ingress/body_reading.go
@@ -127,13 +127,10 @@
 	return n, err
 }
 
-// keepHeaders calls read, and discards the trailer fields after a body of unknown length,
+// discardTrailers calls read and discards the trailer fields after a body of unknown length,
 // which fasthttp adds to the headers of the request. They could pass for headers
 // (RFC 9110, section 6.5.1).
-func keepHeaders(h *fasthttp.RequestHeader, read func() error) error {
-	if h.ContentLength() >= 0 {
-		return read()
-	}
+func discardTrailers(h *fasthttp.RequestHeader, read func() error) error {
 	var head fasthttp.RequestHeader
 	h.CopyTo(&head)
 	defer head.CopyTo(h)
--- a/ingress/guard.go
+++ b/ingress/guard.go
@@ -21,29 +21,30 @@
 	Now func() time.Time
 }
 
-// Guard holds the connections of a Server to their limits and ends those that hold room for
-// nothing. The rules are those of memory.Connections.
+// Guard holds the connections of a Server to their limits and ends those that hold memory
+// without progress. The rules are those of memory.Connections.
 type Guard struct {
 	now   func() time.Time
 	mu    sync.Mutex
 	conns *memory.Connections
-	byNet map[net.Conn]*guardedConn
-	byOwn map[*memory.Conn]net.Conn
+	// tracked and netConns relate the connections of the listener to those of conns.
+	tracked  map[net.Conn]*guardedConn
+	netConns map[*memory.Conn]net.Conn
 }
 
 // guardedConn is a connection with the response that is being relayed on it, which is released
 // once it has been written.
 type guardedConn struct {
-	conn *memory.Conn
-	kept *fasthttp.Response
+	conn    *memory.Conn
+	relayed *fasthttp.Response
 }
 
 // NewGuard returns a Guard for one Server.
 func NewGuard(cfg GuardConfig) *Guard {
 	return &Guard{
-		now:   cfg.Now,
-		conns: memory.NewConnections(cfg.Account, cfg.Source, cfg.MaxConns),
-		byNet: map[net.Conn]*guardedConn{}, byOwn: map[*memory.Conn]net.Conn{},
+		now:     cfg.Now,
+		conns:   memory.NewConnections(cfg.Account, cfg.Source, cfg.MaxConns),
+		tracked: map[net.Conn]*guardedConn{}, netConns: map[*memory.Conn]net.Conn{},
 	}
 }
 
@@ -54,19 +55,19 @@
 	return g.conns.Status()
 }
 
-// Relieve ends the connections that hold room for nothing. It must be called several times a
-// second.
-func (g *Guard) Relieve() {
+// EndStalled ends the connections that hold memory without progress. It must be called several
+// times a second.
+func (g *Guard) EndStalled() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, c := range g.conns.Relieve(g.now()) {
-		own := g.byOwn[c]
+	for _, c := range g.conns.EndStalled(g.now()) {
+		netConn := g.netConns[c]
 		if c.State() == memory.ReadingBody {
 			// The handler can still tell the sender that the request has not run.
-			_ = own.SetReadDeadline(time.Unix(1, 0))
+			_ = netConn.SetReadDeadline(time.Unix(1, 0))
 			continue
 		}
-		_ = own.Close()
+		_ = netConn.Close()
 	}
 }
 
@@ -76,12 +77,12 @@
 	defer g.mu.Unlock()
 	opened, end := g.conns.Open(g.now())
 	if end != nil {
-		_ = g.byOwn[end].Close()
+		_ = g.netConns[end].Close()
 	}
 	if opened == nil {
 		return false
 	}
-	g.byNet[c], g.byOwn[opened] = &guardedConn{conn: opened}, c
+	g.tracked[c], g.netConns[opened] = &guardedConn{conn: opened}, c
 	return true
 }
 
@@ -92,32 +93,32 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known := g.byNet[c]
-	if known == nil {
+	tracked := g.tracked[c]
+	if tracked == nil {
 		return
 	}
-	if known.kept != nil {
-		fasthttp.ReleaseResponse(known.kept)
-		known.kept = nil
+	if tracked.relayed != nil {
+		fasthttp.ReleaseResponse(tracked.relayed)
+		tracked.relayed = nil
 	}
 	if state == fasthttp.StateIdle {
-		g.conns.Done(known.conn, g.now())
+		g.conns.Done(tracked.conn, g.now())
 		return
 	}
-	g.conns.Close(known.conn)
-	delete(g.byNet, c)
-	delete(g.byOwn, known.conn)
+	g.conns.Close(tracked.conn)
+	delete(g.tracked, c)
+	delete(g.netConns, tracked.conn)
 }
 
 // begin starts a request. It returns nil if there is no room for it.
 func (g *Guard) begin(c net.Conn) *Transfer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known := g.byNet[c]
-	if known == nil || !g.conns.Begin(known.conn, g.now()) {
+	tracked := g.tracked[c]
+	if tracked == nil || !g.conns.Begin(tracked.conn, g.now()) {
 		return nil
 	}
-	return &Transfer{guard: g, known: known, hold: known.conn.Request()}
+	return &Transfer{guard: g, tracked: tracked, hold: tracked.conn.Request()}
 }
 
 // guardedListener accepts the connections for which a Guard has room.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -38,7 +38,7 @@
 	Expect func(*fasthttp.RequestCtx) int
 	// Guard limits the connections and what they hold; nil sets no limits.
 	Guard *Guard
-	// Overloaded answers a request for which the Guard has no room.
+	// Overloaded answers a request for which the Guard has no room; it is required with a Guard.
 	Overloaded fasthttp.RequestHandler
 	// NoDate omits the Date header, which the daemon that the caller reached adds:
 	// traffic between availability zones is expensive.
--- a/ingress/transfer.go
+++ b/ingress/transfer.go
@@ -11,9 +11,9 @@
 // Transfer is one request with its body and answer on a connection of a Guard. A nil Transfer
 // is one without limits.
 type Transfer struct {
-	guard *Guard
-	known *guardedConn
-	hold  *memory.Hold
+	guard   *Guard
+	tracked *guardedConn
+	hold    *memory.Hold
 }
 
 // transferKey is the key of a request's Transfer in its context.
@@ -65,7 +65,7 @@
 	}
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
-	t.guard.conns.ReadBody(t.known.conn, t.guard.now())
+	t.guard.conns.ReadBody(t.tracked.conn, t.guard.now())
 }
 
 // progress records that the body or the answer has made progress.
@@ -75,7 +75,7 @@
 	}
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
-	t.guard.conns.Progress(t.known.conn, t.guard.now())
+	t.guard.conns.Progress(t.tracked.conn, t.guard.now())
 }
 
 // bodyRead records that the body is complete. It returns false if the connection is being
@@ -86,7 +86,7 @@
 	}
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
-	return t.guard.conns.BodyRead(t.known.conn)
+	return t.guard.conns.BodyRead(t.tracked.conn)
 }
 
 // ended reports whether the connection is being ended.
@@ -96,14 +96,14 @@
 	}
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
-	return t.known.conn.Ended()
+	return t.tracked.conn.Ended()
 }
 
 // answer records that the answer is being written.
 func (t *Transfer) answer() {
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
-	t.guard.conns.Answer(t.known.conn, t.guard.now())
+	t.guard.conns.Answer(t.tracked.conn, t.guard.now())
 }
 
 // keep keeps a response until it has been written. It returns false if there is no limit on
@@ -114,6 +114,6 @@
 	}
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
-	t.known.kept = resp
+	t.tracked.relayed = resp
 	return true
 }
--- a/memory/connections.go
+++ b/memory/connections.go
@@ -89,12 +89,12 @@
 // is refused: then opened is nil.
 func (t *Connections) Open(now time.Time) (opened, end *Conn) {
 	if len(t.all) >= t.limit {
-		if end = t.leastUseful(now); end == nil {
+		if end = t.evictionCandidate(now); end == nil {
 			t.counts.Refused++
 			return nil, nil
 		}
 		t.end(end)
-		// It gives its room to the new one, and must not be counted twice.
+		// Its memory is released for the new one before the server reports it closed.
 		t.forget(end)
 	}
 	hold := t.account.Open(t.source)
@@ -174,10 +174,10 @@
 	}
 }
 
-// Relieve returns the connections to end now: those whose answers have not been read for
+// EndStalled returns the connections to end now: those whose answers have not been read for
 // long, and under pressure as many of the stalled ones as are needed, those with the oldest
 // progress first.
-func (t *Connections) Relieve(now time.Time) []*Conn {
+func (t *Connections) EndStalled(now time.Time) []*Conn {
 	var out []*Conn
 	excess := t.account.Excess(t.source)
 	for _, c := range t.byProgress() {
@@ -213,24 +213,24 @@
 	return out
 }
 
-// leastUseful returns the connection to end in favour of a new one, or nil: one that waits
-// for its first request, or else for another one, or else a stalled one. Among equals it is
+// evictionCandidate returns the connection to end in favour of a new one, or nil: one that
+// waits for its first request, or else for another one, or else a stalled one. Among equals it is
 // the one with the oldest progress.
-func (t *Connections) leastUseful(now time.Time) *Conn {
-	var least *Conn
+func (t *Connections) evictionCandidate(now time.Time) *Conn {
+	var first *Conn
 	for c := range t.all {
 		if c.ended || !stalled(c, now) && c.state != Waiting {
 			continue
 		}
-		if least == nil || cmp.Or(cmp.Compare(usefulness(c), usefulness(least)), c.progress.Compare(least.progress)) < 0 {
-			least = c
+		if first == nil || cmp.Or(cmp.Compare(evictionOrder(c), evictionOrder(first)), c.progress.Compare(first.progress)) < 0 {
+			first = c
 		}
 	}
-	return least
+	return first
 }
 
-// usefulness orders the connections that may be ended.
-func usefulness(c *Conn) int {
+// evictionOrder returns the rank of a connection that may be ended; the lowest is ended first.
+func evictionOrder(c *Conn) int {
 	switch {
 	case c.state == Waiting && !c.served:
 		return 0
--- a/memory/connections_test.go
+++ b/memory/connections_test.go
@@ -74,9 +74,9 @@
 	}
 }
 
-// TestRelieve guards against stalled bodies that keep their room under pressure, and against
+// TestEndStalled guards against stalled bodies that keep their room under pressure, and against
 // the end of bodies without pressure or with progress.
-func TestRelieve(t *testing.T) {
+func TestEndStalled(t *testing.T) {
 	account := memory.NewAccount(64 * mB)
 	conns := memory.NewConnections(account, memory.Callers, 1000)
 	var all []*memory.Conn
@@ -91,14 +91,14 @@
 		}
 		all = append(all, c)
 		if i == 10 {
-			if ended := conns.Relieve(at.Add(10 * time.Second)); len(ended) > 0 {
+			if ended := conns.EndStalled(at.Add(10 * time.Second)); len(ended) > 0 {
 				t.Fatalf("%d bodies end without pressure, want none", len(ended))
 			}
 		}
 	}
 	now := start.Add(5 * time.Second)
 	conns.Progress(all[0], now)
-	ended := conns.Relieve(now)
+	ended := conns.EndStalled(now)
 	if len(ended) == 0 || len(ended) > len(all)/2 {
 		t.Fatalf("%d of %d bodies end, want some, and at most half", len(ended), len(all))
 	}
@@ -111,7 +111,7 @@
 		}
 		conns.Close(c)
 	}
-	if again := conns.Relieve(now.Add(10 * time.Second)); len(again) > 0 {
+	if again := conns.EndStalled(now.Add(10 * time.Second)); len(again) > 0 {
 		t.Errorf("%d more bodies end after the pressure has gone, want none", len(again))
 	}
 	for _, c := range all {
@@ -132,10 +132,10 @@
 		conns.Answer(c, start)
 	}
 	conns.Progress(slow, start.Add(memory.UnreadLimit/2))
-	if ended := conns.Relieve(start.Add(memory.UnreadLimit - time.Millisecond)); len(ended) > 0 {
+	if ended := conns.EndStalled(start.Add(memory.UnreadLimit - time.Millisecond)); len(ended) > 0 {
 		t.Fatalf("%d answers end too early", len(ended))
 	}
-	if ended := conns.Relieve(start.Add(memory.UnreadLimit)); len(ended) != 1 || ended[0] != unread {
+	if ended := conns.EndStalled(start.Add(memory.UnreadLimit)); len(ended) != 1 || ended[0] != unread {
 		t.Fatalf("%d answers end, want the one without progress", len(ended))
 	}
 }
