memory: end the connection opened first among those with equal progress

Which of several connections with equal progress was ended depended on the order of a map. TestConnectionToEnd failed 23 times in 200 runs (go test ./memory -run TestConnectionToEnd -count=200), and 0 times with the tie broken by the order of opening.

--- a/memory/connections.go
+++ b/memory/connections.go
@@ -47,6 +47,8 @@
 	// served is true once a request has been answered.
 	served bool
 	ended  bool
+	// number is the count of connections opened before it.
+	number int64
 	hold   *Hold
 	// request is what is reserved for the request in progress, or nil.
 	request *Hold
@@ -68,6 +70,7 @@
 	limit   int
 	all     map[*Conn]struct{}
 	counts  Counts
+	opened  int64
 }
 
 // NewConnections returns an empty set of at most limit connections, which are also limited
@@ -102,7 +105,8 @@
 		t.counts.Refused++
 		return nil, end
 	}
-	opened = &Conn{state: Waiting, progress: now, hold: hold}
+	opened = &Conn{state: Waiting, progress: now, hold: hold, number: t.opened}
+	t.opened++
 	t.all[opened] = struct{}{}
 	return opened, end
 }
@@ -209,10 +213,16 @@
 			out = append(out, c)
 		}
 	}
-	slices.SortFunc(out, func(x, y *Conn) int { return x.progress.Compare(y.progress) })
+	slices.SortFunc(out, compareProgress)
 	return out
 }
 
+// compareProgress orders connections by their progress, and those with equal progress by when
+// they were opened.
+func compareProgress(x, y *Conn) int {
+	return cmp.Or(x.progress.Compare(y.progress), cmp.Compare(x.number, y.number))
+}
+
 // evictionCandidate returns the connection to end in favour of a new one, or nil: one that
 // waits for its first request, or else for another one, or else a stalled one. Among equals it is
 // the one with the oldest progress.
@@ -222,7 +232,7 @@
 		if c.ended || !stalled(c, now) && c.state != Waiting {
 			continue
 		}
-		if first == nil || cmp.Or(cmp.Compare(evictionOrder(c), evictionOrder(first)), c.progress.Compare(first.progress)) < 0 {
+		if first == nil || cmp.Or(cmp.Compare(evictionOrder(c), evictionOrder(first)), compareProgress(c, first)) < 0 {
 			first = c
 		}
 	}
