ingress: do not end an answer that waits for its upstream

The progress of a streamed answer was recorded only when more of it was asked for. An upstream that paused for 2 s under pressure, or for 30 s without, then looked like a caller that does not read, and the caller's connection was closed. The connection counts as running while it waits. TestWaitForUpstreamIsNoStall failed before (got "ab", want "abc").

--- a/ingress/guard_test.go
+++ b/ingress/guard_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,3 +141,49 @@
 	}
 	waitReleased(t, account, guard)
 }
+
+// TestWaitForUpstreamIsNoStall guards against ending a caller's connection that waits for more
+// of a streamed answer: the upstream has stalled, not the caller.
+func TestWaitForUpstreamIsNoStall(t *testing.T) {
+	var elapsed atomic.Int64
+	start := time.Now()
+	guard := ingress.NewGuard(ingress.GuardConfig{
+		Account: memory.NewAccount(64 << 20), Source: memory.Callers, MaxConns: 10,
+		Now: func() time.Time { return start.Add(time.Duration(elapsed.Load())) },
+	})
+	reader, writer := io.Pipe()
+	s, err := ingress.Start(ingress.Config{
+		Listen: "127.0.0.1:0", Guard: guard,
+		Handle: func(ctx *fasthttp.RequestCtx) {
+			from := fasthttp.AcquireResponse()
+			from.SetBodyStream(reader, -1)
+			ingress.RelayResponse(ctx, from, ingress.Dialect{}, func() {})
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+	})
+	go func() {
+		// Once the second write is taken, the server has read the first one and reads on.
+		_, _ = io.WriteString(writer, "a")
+		_, _ = io.WriteString(writer, "b")
+		time.Sleep(50 * time.Millisecond)
+		elapsed.Store(int64(2 * memory.UnreadLimit))
+		guard.EndStalled()
+		_, _ = io.WriteString(writer, "c")
+		_ = writer.Close()
+	}()
+	resp, err := http.Get("http://" + s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != "abc" {
+		t.Fatalf("got %q, %v, want abc", got, err)
+	}
+}
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -71,7 +71,8 @@
 		return 0, io.ErrClosedPipe
 	}
 	// What was read before has been written.
-	p.transfer.progress()
+	p.transfer.awaitUpstream()
+	defer p.transfer.answer()
 	return p.from.BodyStream().Read(b)
 }
 
--- a/ingress/transfer.go
+++ b/ingress/transfer.go
@@ -68,7 +68,7 @@
 	t.guard.conns.ReadBody(t.tracked.conn, t.guard.now())
 }
 
-// progress records that the body or the answer has made progress.
+// progress records that the body has made progress.
 func (t *Transfer) progress() {
 	if t == nil {
 		return
@@ -99,8 +99,21 @@
 	return t.tracked.conn.Ended()
 }
 
+// awaitUpstream records that the connection waits for more of the answer.
+func (t *Transfer) awaitUpstream() {
+	if t == nil {
+		return
+	}
+	t.guard.mu.Lock()
+	defer t.guard.mu.Unlock()
+	t.guard.conns.AwaitUpstream(t.tracked.conn, t.guard.now())
+}
+
 // answer records that the answer is being written.
 func (t *Transfer) answer() {
+	if t == nil {
+		return
+	}
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
 	t.guard.conns.Answer(t.tracked.conn, t.guard.now())
--- a/memory/connections.go
+++ b/memory/connections.go
@@ -13,7 +13,8 @@
 const (
 	// Waiting is for a request, the head of which may have arrived in part.
 	Waiting State = "waiting"
-	// Running is from the end of the head to the answer, unless the body is being read.
+	// Running is from the end of the head to the answer, unless the body is being read, and
+	// while the connection waits for more of a streamed answer.
 	Running State = "running"
 	// ReadingBody is while the body of a request is incomplete.
 	ReadingBody State = "readingBody"
@@ -129,7 +130,7 @@
 	return true
 }
 
-// Progress records that a body or an answer has made progress.
+// Progress records that a body has made progress.
 func (t *Connections) Progress(c *Conn, now time.Time) { c.progress = now }
 
 // ReadBody records that the body of the request is being read.
@@ -146,6 +147,12 @@
 	return !c.ended
 }
 
+// AwaitUpstream records that the connection waits for more of the answer, so that it cannot
+// stall.
+func (t *Connections) AwaitUpstream(c *Conn, now time.Time) {
+	c.state, c.progress = Running, now
+}
+
 // Answer records that the answer is being written.
 func (t *Connections) Answer(c *Conn, now time.Time) {
 	c.state, c.progress = WritingAnswer, now
