--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -80,7 +80,8 @@
 		name  string
 		value *uint64
 	}{
-		{fieldHops, &hops}, {fieldIncarnation, &f.Incarnation}, {fieldFingerprint, &r.Fingerprint}, {fieldRevision, &f.Revision}, {fieldEra, &f.Era},
+		{fieldHops, &hops}, {fieldIncarnation, &f.Incarnation}, {fieldFingerprint, &r.Fingerprint},
+		{fieldRevision, &f.Revision}, {fieldEra, &f.Era},
 	} {
 		var err error
 		if *n.value, err = parseUintField(fields, n.name); err != nil {
--- a/peer/accepted.go
+++ b/peer/accepted.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"cmp"
-
 	"pomelodoor.example/pomelodoor/memory"
 )
 
@@ -10,10 +8,10 @@
 // and its goroutines.
 const acceptedConnBytes = 32 << 10
 
-// accepted holds the connections that others have opened, and what has arrived of incomplete
-// messages, to their limits. Load: hundreds of connections that send long messages nearly whole.
-// When there is too little room, the connection whose last complete message is the longest ago
-// is to be ended. It is used by one event loop, and not safe for concurrent use.
+// accepted limits the connections that others have opened and the bytes of incomplete messages on
+// them, against hundreds of connections that each send most of a long message. When there is too
+// little room, the connection whose last complete message is the longest ago is to be ended. It is
+// used by one event loop, and not safe for concurrent use.
 type accepted struct {
 	maxConns int
 	maxBytes int
@@ -21,15 +19,15 @@
 	hold     *memory.Hold
 	streams  map[*stream]*acceptedConn
 	buffered int
-	// messages counts the connections opened and the messages received, as a clock.
-	messages int
+	// events counts the connections opened and the messages received. It orders them in time.
+	events int
 }
 
-// acceptedConn is what accepted knows of a connection.
+// acceptedConn is the state of one accepted connection.
 type acceptedConn struct {
-	// used is the value of accepted.messages at the last complete message.
-	used     int
-	buffered int
+	// lastEvent is the value of accepted.events at the last complete message.
+	lastEvent int
+	buffered  int
 }
 
 func newAccepted(maxConns, maxBytes int, hold *memory.Hold) *accepted {
@@ -38,8 +36,8 @@
 
 // open adds a connection, and returns those to be ended for it, perhaps itself.
 func (a *accepted) open(s *stream) (end []*stream) {
-	a.messages++
-	a.streams[s] = &acceptedConn{used: a.messages}
+	a.events++
+	a.streams[s] = &acceptedConn{lastEvent: a.events}
 	reserved := a.reserve(memory.OpenConnections, acceptedConnBytes)
 	for len(a.streams) > a.maxConns || !reserved {
 		oldest := a.oldest(0)
@@ -48,7 +46,7 @@
 			a.close(oldest)
 			continue
 		}
-		// Its room goes to the new one, which had none.
+		// The new one takes over its reservation, having none of its own.
 		a.forget(oldest)
 		reserved = true
 	}
@@ -63,8 +61,8 @@
 		return nil
 	}
 	if complete {
-		a.messages++
-		c.used = a.messages
+		a.events++
+		c.lastEvent = a.events
 	}
 	more := buffered - c.buffered
 	c.buffered += more
@@ -99,7 +97,7 @@
 	}
 }
 
-// forget removes a connection, but keeps the room for one reserved.
+// forget removes a connection, but keeps acceptedConnBytes reserved.
 func (a *accepted) forget(s *stream) {
 	c := a.streams[s]
 	delete(a.streams, s)
@@ -112,7 +110,7 @@
 func (a *accepted) oldest(buffered int) *stream {
 	var oldest *stream
 	for s, c := range a.streams {
-		if c.buffered >= buffered && (oldest == nil || cmp.Less(c.used, a.streams[oldest].used)) {
+		if c.buffered >= buffered && (oldest == nil || c.lastEvent < a.streams[oldest].lastEvent) {
 			oldest = s
 		}
 	}
--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -95,8 +95,8 @@
 	}
 	e.client = client
 	go func() {
-		e.serveErr <- gnet.Run(&eventHandler{endpoint: e, accepted: newAccepted(cfg.MaxConns, cfg.MaxBufferedBytes, cfg.Hold)}, "tcp://"+cfg.Listen, noLog,
-			gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true))
+		handler := &eventHandler{endpoint: e, accepted: newAccepted(cfg.MaxConns, cfg.MaxBufferedBytes, cfg.Hold)}
+		e.serveErr <- gnet.Run(handler, "tcp://"+cfg.Listen, noLog, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true))
 	}()
 	select {
 	case <-e.listening:
--- a/peer/events.go
+++ b/peer/events.go
@@ -41,7 +41,7 @@
 	return nil, gnet.None
 }
 
-// end closes connections for lack of room.
+// end closes connections for lack of room, and counts the others.
 func (v *eventHandler) end(streams []*stream) {
 	for _, s := range streams {
 		v.endpoint.ended.Add(1)
