--- a/balance/picker.go
+++ b/balance/picker.go
@@ -143,7 +143,7 @@
 
 // ObserveLinkDelay counts the excess link delay of one call: how much longer than
 // the baseline its request and response were in transit. The link of the upstream's
-// machine may be saturated.
+// host may be saturated.
 func (p *Picker) ObserveLinkDelay(id string, excess time.Duration, now time.Time) {
 	p.upstream(id).observeLinkDelay(float64(excess), now)
 }
--- a/memory/account.go
+++ b/memory/account.go
@@ -29,13 +29,13 @@
 )
 
 const (
-	// accountPercent is the part of the machine's memory that is for the account, and
+	// accountPercent is the part of the host's memory that is for the account, and
 	// runtimePercent the part up to which the garbage collector lets the heap grow. Between
 	// them is room for the daemon's own data and for garbage; above the second, for the
 	// program itself and for the kernel's socket buffers.
 	accountPercent = 40
 	runtimePercent = 75
-	// defaultAccountBytes applies where the machine's memory is not known. It holds 350
+	// defaultAccountBytes applies where the host's memory is not known. It holds 350
 	// bodies of the longest buffered length from callers.
 	defaultAccountBytes = 512 << 20
 	bytesPerMB          = 1 << 20
@@ -53,7 +53,7 @@
 // SmallBytes is the most that a small request holds, beside what every request needs.
 const SmallBytes = 64 << 10
 
-// AccountBytes returns the size of the account for a machine with so much memory in MB; 0
+// AccountBytes returns the size of the account for a host with so much memory in MB; 0
 // means that it is not known.
 func AccountBytes(memoryMB float64) int64 {
 	if memoryMB == 0 {
