--- a/node/candidates.go
+++ b/node/candidates.go
@@ -24,9 +24,9 @@
 	evacuations uint64
 	summary     uint64
 	list        []balance.Candidate
-	// evacuated is true if an evacuation excludes some upstreams, and elsewhere if the route
+	// evacuated is true if an evacuation excludes some upstreams, and wrongRegion if the route
 	// does not allow the regions of some.
-	evacuated, elsewhere bool
+	evacuated, wrongRegion bool
 }
 
 // candidates returns the live upstreams of a service that a selector allows, that are in no
@@ -46,7 +46,7 @@
 			continue
 		}
 		if !allowsRegion(route, r.Region) {
-			set.elsewhere = true
+			set.wrongRegion = true
 			continue
 		}
 		if n.evacuation.includes(r.AvailabilityZone) {
@@ -66,7 +66,7 @@
 	switch {
 	case s.evacuated:
 		return call.Evacuated
-	case s.elsewhere:
+	case s.wrongRegion:
 		return call.WrongRegion
 	}
 	return call.NoUpstream
--- a/node/cold.go
+++ b/node/cold.go
@@ -21,7 +21,7 @@
 // defaultColdBound leaves room for probes; the rate of calls does not depend on it.
 var defaultColdBound = ColdBound{Excess: 1.5, Slack: 8}
 
-// coldState is what is known about the local upstream's being cold.
+// coldState is what the node records about the cold limit of the local upstream.
 type coldState struct {
 	// incarnation is the incarnation of the upstream that the gate's knowledge is about.
 	incarnation string
@@ -31,8 +31,8 @@
 	// when it last was.
 	logged    bool
 	limitedAt time.Time
-	// sent is whether the last load report to the zone said that the upstream is cold.
-	sent bool
+	// reported is whether the last load report to the zone said that the upstream is cold.
+	reported bool
 }
 
 // coldSettings returns the settings for cold upstreams of a service. Only daemons that
@@ -146,13 +146,14 @@
 	}
 	status, _ := n.gate.Cold(now)
 	return []Command{LogEntry{Part: "admit", Text: text, Fields: []any{
-		"warmth", status.Warmth, "perSecond", status.PerSecond, "limitedStarts", status.LimitedStarts, "queued", n.gate.Queued(),
+		"warmth", status.Warmth, "perSecond", status.PerSecond,
+		"limitedStarts", status.LimitedStarts, "queued", n.gate.Queued(),
 	}}}
 }
 
 // reportCold adds to a load report that the upstream is cold. Its slots are then the
-// number of calls that the rate keeps busy, which also daemons that know no rate
-// understand.
+// number of calls that run at once at the rate, which daemons that do not know the rate
+// understand too.
 func (n *Node) reportCold(load *balance.Load, now time.Time) {
 	if !n.gate.Limited(now) {
 		return
--- a/node/direct.go
+++ b/node/direct.go
@@ -32,9 +32,11 @@
 	before := n.returned.HeldBack()
 	list := n.returned.Filter(m.List, m.Era, m.Revision, now)
 	if after := n.returned.HeldBack(); after != before {
-		return list, []Command{LogEntry{Part: "membership", Text: "Upstreams that were leaving or gone when the store returned stay so.", Fields: []any{
-			"upstreams", after, "era", m.Era, "storeRevision", m.Revision,
-		}}}
+		return list, []Command{LogEntry{
+			Part:   "membership",
+			Text:   "Upstreams that were leaving or gone when the store returned stay so.",
+			Fields: []any{"upstreams", after, "era", m.Era, "storeRevision", m.Revision},
+		}}
 	}
 	return list, nil
 }
--- a/node/evacuation.go
+++ b/node/evacuation.go
@@ -28,7 +28,7 @@
 	return n.applyEvacuations(now)
 }
 
-// applyEvacuations puts in force what the documents and the store say now.
+// applyEvacuations puts in force the zones that the documents and the store evacuate now.
 func (n *Node) applyEvacuations(now time.Time) []Command {
 	zones := slices.Concat(n.config.EvacuatedZones(), n.evacuation.stored)
 	slices.Sort(zones)
@@ -81,7 +81,10 @@
 // evacuationEntry returns a log entry about a zone. own is true for the zone of this daemon.
 func (n *Node) evacuationEntry(text, zone string, warn bool, fields ...any) LogEntry {
 	own := zone == n.cfg.Self.AvailabilityZone
-	fields = append([]any{"availabilityZone", zone, "own", own, "evacuated", len(n.evacuation.zones), "storeRevision", n.evacuation.revision}, fields...)
+	fields = append([]any{
+		"availabilityZone", zone, "own", own,
+		"evacuated", len(n.evacuation.zones), "storeRevision", n.evacuation.revision,
+	}, fields...)
 	return LogEntry{Part: "evacuation", Text: text, Warn: warn, Fields: fields}
 }
 
@@ -104,8 +107,8 @@
 // the slice.
 func (n *Node) EvacuatedZones() []string { return n.evacuation.zones }
 
-// avoidZone excludes the other instances of a zone from further attempts of a call. The daemon
-// of one has refused it because of an evacuation that this daemon does not know of yet.
+// avoidZone excludes the zone of the instance refusedBy from further attempts of a call. The
+// daemon there knows of an evacuation that this daemon does not know of yet.
 func (n *Node) avoidZone(c *callState, refusedBy string) {
 	record, ok := n.view.Lookup(refusedBy)
 	if !ok {
--- a/node/node.go
+++ b/node/node.go
@@ -135,7 +135,8 @@
 	contention float64
 	// gateDueAt is when the pending GateAfter ends; zero if none is pending.
 	gateDueAt time.Time
-	cold      coldState
+
+	cold coldState
 
 	upstreamCold bool
 	// upstreamListed is set once the store has listed the local upstream.
@@ -161,20 +162,21 @@
 		view: membership.New(membership.Config{
 			Self: cfg.Self, Incarnation: cfg.Incarnation, Started: cfg.Started, ResumeTimeout: resumeTimeout(cfg),
 		}),
-		unlisted:  map[string]string{},
-		calls:     map[string]*callState{},
-		sets:      map[candidateKey]*candidateSet{},
-		pickers:   map[string]*balance.Picker{},
-		policies:  map[string]*retry.Policy{},
-		splits:    map[string]*split{},
-		links:     newLinks(cfg.Self.AvailabilityZone),
-		runs:      map[string]*runState{},
-		gate:      admit.New(admit.Config{}),
-		meter:     measure.New(measure.Config{Rand: cfg.Rand}),
-		homes:     map[string]*homeSet{},
-		senders:   map[string]time.Time{},
-		routeWork: map[string]work{}, routeTimes: map[string]*longestTime{},
-		suspects: quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
+		unlisted:   map[string]string{},
+		calls:      map[string]*callState{},
+		sets:       map[candidateKey]*candidateSet{},
+		pickers:    map[string]*balance.Picker{},
+		policies:   map[string]*retry.Policy{},
+		splits:     map[string]*split{},
+		links:      newLinks(cfg.Self.AvailabilityZone),
+		runs:       map[string]*runState{},
+		gate:       admit.New(admit.Config{}),
+		meter:      measure.New(measure.Config{Rand: cfg.Rand}),
+		homes:      map[string]*homeSet{},
+		senders:    map[string]time.Time{},
+		routeWork:  map[string]work{},
+		routeTimes: map[string]*longestTime{},
+		suspects:   quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
 		coordinator: once.New(once.Config{
 			Self:    once.Incarnation{ID: cfg.Self.ID, Number: cfg.Incarnation},
 			Started: cfg.Started,
--- a/node/retry_after.go
+++ b/node/retry_after.go
@@ -19,8 +19,8 @@
 	// retryAfterRanks is the number of ranks that return at different times. Further
 	// ranks return with the last.
 	retryAfterRanks = 3
-	// retryAfterSteps is the number of parts of the expected time over which the callers
-	// of one rank return, as a divisor: later ranks return half of it later each.
+	// retryAfterSteps divides the time until capacity is expected into steps. The callers
+	// of one rank return within one step, those of the next rank within the step after it.
 	retryAfterSteps = 2
 )
 
@@ -51,16 +51,16 @@
 
 // retryAfter returns when the caller of a request that did not run may try again. In a
 // shortage that is when capacity is expected, within a part of the time that the caller
-// has left. The callers of a rank are spread over a time of their own, so that those of a
-// higher rank return first and none return together.
+// has left. The callers of each rank return at random times within a step of their own, so
+// that those of a higher rank return first and few return together.
 func (n *Node) retryAfter(c *callState) time.Duration {
 	if c.capacityAt.IsZero() {
 		return defaultRetryAfter
 	}
-	const latest = retryAfterSteps + retryAfterRanks // of 1/retryAfterSteps of the base
+	const latestSteps = retryAfterSteps + retryAfterRanks // the latest return, in steps
 	limit := c.request.Deadline.Sub(c.refusedAt) / retryAfterPart
 	base := max(c.capacityAt.Sub(c.refusedAt), defaultRetryAfter)
-	step := min(base/retryAfterSteps, limit/latest)
+	step := min(base/retryAfterSteps, limit/latestSteps)
 	if step <= 0 {
 		return defaultRetryAfter
 	}
--- a/node/shortage.go
+++ b/node/shortage.go
@@ -11,8 +11,8 @@
 	// shortageFor is how long a shortage lasts after the last refusal for lack of
 	// capacity, as there are gaps between refusals within one.
 	shortageFor = 5 * time.Second
-	// maxRankCounted limits the ranks that are counted apart. Later ranks are counted with
-	// this one.
+	// maxRankCounted is the last rank that is counted separately. Later ranks are counted
+	// with it.
 	maxRankCounted = 15
 )
 
@@ -75,7 +75,10 @@
 	}
 	n.shortage.logged = present
 	load := n.gate.Load(now)
-	fields := []any{"refused", n.shortage.refused, "running", load.InFlight, "queued", load.Queued, "slots", load.Slots, "wait", load.Wait}
+	fields := []any{
+		"refused", n.shortage.refused, "running", load.InFlight,
+		"queued", load.Queued, "slots", load.Slots, "wait", load.Wait,
+	}
 	if present {
 		return []Command{LogEntry{Part: "admit", Text: "The upstream has too little capacity. Requests are refused.", Warn: true, Fields: fields}}
 	}
--- a/node/zone_load.go
+++ b/node/zone_load.go
@@ -42,13 +42,13 @@
 	load := n.Load(now)
 	since := now.Sub(n.zoneSentAt)
 	calls := load.InFlight + load.Queued
-	changed := n.gate.Limited(now) != n.cold.sent
+	limited := n.gate.Limited(now)
 	callsChanged := max(calls-n.sentCalls, n.sentCalls-calls) >= loadChangeCalls && since >= minLoadInterval
-	if pace == 0 || since < minZoneInterval || similarPace(pace, n.sentPace) && !callsChanged && !changed {
+	if pace == 0 || since < minZoneInterval || similarPace(pace, n.sentPace) && !callsChanged && limited == n.cold.reported {
 		return nil
 	}
 	n.sentPace, n.sentCalls, n.zoneSentAt = pace, calls, now
-	n.cold.sent = n.gate.Limited(now)
+	n.cold.reported = limited
 	message := loadMessage{Load: string(load.Append(nil))}
 	var out []Command
 	for _, id := range n.loadRecipients(now) {
