--- a/daemon/guards.go
+++ b/daemon/guards.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// relieveInterval is how often connections that hold room for nothing are looked for.
+	// relieveInterval is how often connections that hold memory without progress are looked for.
 	relieveInterval = 200 * time.Millisecond
 	// guardLogInterval is the least time between two log lines about what was refused and
 	// ended at a port.
@@ -84,7 +84,7 @@
 	return r
 }
 
-// relieve ends connections that hold room for nothing, until the daemon stops.
+// relieve ends connections that hold memory without progress, until the daemon stops.
 func (d *Daemon) relieve() {
 	ticker := time.NewTicker(relieveInterval)
 	defer ticker.Stop()
