admit: evict by the same expected work as the plan

A call whose work is not known counted as the mean work in the plan of the queue, but as no work where the queue was full, so that a short known call was refused in its place. TestUnknownWorkIsEvicted failed before.

--- a/admit/shed.go
+++ b/admit/shed.go
@@ -129,7 +129,7 @@
 		}
 	}
 	for _, w := range g.queue.calls {
-		work := cmp.Or(g.pace.expectedWork(w.req), g.serviceTime.mean)
+		work := g.plannedWork(w.req)
 		j := job{work: work, latest: noLimit, shedKey: g.queue.shedKey(w.req, work)}
 		if latest := latestEnd(w.req); !latest.IsZero() {
 			j.latest = latest.Sub(now)
@@ -230,7 +230,13 @@
 }
 
 func (g *Gate) shedKey(w queuedCall) float64 {
-	return g.queue.shedKey(w.req, g.pace.expectedWork(w.req))
+	return g.queue.shedKey(w.req, g.plannedWork(w.req))
+}
+
+// plannedWork returns the expected work of a call, or that of the average call if it is not
+// known.
+func (g *Gate) plannedWork(req call.Request) time.Duration {
+	return cmp.Or(g.pace.expectedWork(req), g.serviceTime.mean)
 }
 
 // Promoted returns how many calls were served first because their route was below its floor.
--- a/admit/shed_test.go
+++ b/admit/shed_test.go
@@ -254,6 +254,22 @@
 	}
 }
 
+// TestUnknownWorkIsEvicted guards against a call of unknown work that counts as the shortest
+// where the queue is full, but as one of mean work in the plan.
+func TestUnknownWorkIsEvicted(t *testing.T) {
+	g := New(Config{})
+	g.SetLimits(Limits{Slots: 1, Queue: 1, Shed: true, Paced: true}, shedStart)
+	g.Measured(NominalPace, shedStart)
+	g.serviceTime.mean = ms(100)
+	for _, id := range []string{"running", "known"} {
+		g.Arrive(call.Request{ID: id, ExpectedWork: ms(10)}, shedStart)
+	}
+	got := g.Arrive(call.Request{ID: "unknown"}, shedStart)
+	if want := []Action{refuse("unknown", call.Overloaded)}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // TestFloorHolds guards against a route that starves: of each route, a quarter of the share
 // of all calls is served at each gate.
 func TestFloorHolds(t *testing.T) {
