--- a/admit/admit.go
+++ b/admit/admit.go
@@ -123,7 +123,7 @@
 	cold        coldLimiter
 	planner     planner
 	floor       floor
-	raised      uint64
+	promoted    uint64
 	draining    bool
 	evacuated   bool
 	lastEvent   time.Time
@@ -246,7 +246,7 @@
 	g.limits = limits
 	g.limits.Slots, g.limits.Queue = max(limits.Slots, 0), max(limits.Queue, 0)
 	g.cold.set(limits.ColdLimit, now)
-	g.pace.cold = limits.Cold || g.cold.warmth == cold
+	g.pace.cold = limits.Cold || g.cold.enabled() && g.cold.warmth == cold
 	g.queue.reorder(limits.Shed, limits.LeastCost)
 	actions = append(actions, g.fill(now)...)
 	for g.queue.len() > g.limits.Queue {
--- a/admit/shed_test.go
+++ b/admit/shed_test.go
@@ -39,7 +39,7 @@
 		var jobs []job
 		for range rapid.IntRange(0, 9).Draw(t, "calls") {
 			work := ms(rapid.IntRange(1, 50).Draw(t, "work"))
-			jobs = append(jobs, job{work: work, latest: ms(rapid.IntRange(1, 150).Draw(t, "latest")), yield: float64(work)})
+			jobs = append(jobs, job{work: work, latest: ms(rapid.IntRange(1, 150).Draw(t, "latest")), shedKey: float64(work)})
 		}
 		slices.SortFunc(jobs, func(a, b job) int { return int(a.latest - b.latest) })
 		var p planner
@@ -152,7 +152,7 @@
 }
 
 // TestLowerRanksChangeNothing guards against calls of a lower rank that make one of a higher
-// rank give way: what is refused of a rank is the same without the lower ranks.
+// rank refused: what is refused of a rank is the same without the lower ranks.
 func TestLowerRanksChangeNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newShedModel(t, false)
@@ -254,6 +254,22 @@
 	}
 }
 
+// TestUnknownWorkIsEvicted guards against a call of unknown work that counts as the shortest
+// where the queue is full, but as one of mean work in the plan.
+func TestUnknownWorkIsEvicted(t *testing.T) {
+	g := New(Config{})
+	g.SetLimits(Limits{Slots: 1, Queue: 1, Shed: true, Paced: true}, shedStart)
+	g.Measured(NominalPace, shedStart)
+	g.serviceTime.mean = ms(100)
+	for _, id := range []string{"running", "known"} {
+		g.Arrive(call.Request{ID: id, ExpectedWork: ms(10)}, shedStart)
+	}
+	got := g.Arrive(call.Request{ID: "unknown"}, shedStart)
+	if want := []Action{refuse("unknown", call.Overloaded)}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // TestFloorHolds guards against a route that starves: of each route, a quarter of the share
 // of all calls is served at each gate.
 func TestFloorHolds(t *testing.T) {
--- a/memory/connections.go
+++ b/memory/connections.go
@@ -13,7 +13,8 @@
 const (
 	// Waiting is for a request, the head of which may have arrived in part.
 	Waiting State = "waiting"
-	// Running is from the end of the head to the answer, unless the body is being read.
+	// Running is from the end of the head to the answer, unless the body is being read, and
+	// while the connection waits for more of a streamed answer.
 	Running State = "running"
 	// ReadingBody is while the body of a request is incomplete.
 	ReadingBody State = "readingBody"
@@ -47,6 +48,8 @@
 	// served is true once a request has been answered.
 	served bool
 	ended  bool
+	// number is the count of connections opened before it.
+	number int64
 	hold   *Hold
 	// request is what is reserved for the request in progress, or nil.
 	request *Hold
@@ -68,6 +71,7 @@
 	limit   int
 	all     map[*Conn]struct{}
 	counts  Counts
+	opened  int64
 }
 
 // NewConnections returns an empty set of at most limit connections, which are also limited
@@ -89,12 +93,12 @@
 // is refused: then opened is nil.
 func (t *Connections) Open(now time.Time) (opened, end *Conn) {
 	if len(t.all) >= t.limit {
-		if end = t.leastUseful(now); end == nil {
+		if end = t.evictionCandidate(now); end == nil {
 			t.counts.Refused++
 			return nil, nil
 		}
 		t.end(end)
-		// It gives its room to the new one, and must not be counted twice.
+		// Its memory is released for the new one before the server reports it closed.
 		t.forget(end)
 	}
 	hold := t.account.Open(t.source)
@@ -102,7 +106,8 @@
 		t.counts.Refused++
 		return nil, end
 	}
-	opened = &Conn{state: Waiting, progress: now, hold: hold}
+	opened = &Conn{state: Waiting, progress: now, hold: hold, number: t.opened}
+	t.opened++
 	t.all[opened] = struct{}{}
 	return opened, end
 }
@@ -125,7 +130,7 @@
 	return true
 }
 
-// Progress records that a body or an answer has made progress.
+// Progress records that a body has made progress.
 func (t *Connections) Progress(c *Conn, now time.Time) { c.progress = now }
 
 // ReadBody records that the body of the request is being read.
@@ -142,6 +147,12 @@
 	return !c.ended
 }
 
+// AwaitUpstream records that the connection waits for more of the answer, so that it cannot
+// stall.
+func (t *Connections) AwaitUpstream(c *Conn, now time.Time) {
+	c.state, c.progress = Running, now
+}
+
 // Answer records that the answer is being written.
 func (t *Connections) Answer(c *Conn, now time.Time) {
 	c.state, c.progress = WritingAnswer, now
@@ -174,10 +185,10 @@
 	}
 }
 
-// Relieve returns the connections to end now: those whose answers have not been read for
+// EndStalled returns the connections to end now: those whose answers have not been read for
 // long, and under pressure as many of the stalled ones as are needed, those with the oldest
 // progress first.
-func (t *Connections) Relieve(now time.Time) []*Conn {
+func (t *Connections) EndStalled(now time.Time) []*Conn {
 	var out []*Conn
 	excess := t.account.Excess(t.source)
 	for _, c := range t.byProgress() {
@@ -209,28 +220,34 @@
 			out = append(out, c)
 		}
 	}
-	slices.SortFunc(out, func(x, y *Conn) int { return x.progress.Compare(y.progress) })
+	slices.SortFunc(out, compareProgress)
 	return out
 }
 
-// leastUseful returns the connection to end in favour of a new one, or nil: one that waits
-// for its first request, or else for another one, or else a stalled one. Among equals it is
+// compareProgress orders connections by their progress, and those with equal progress by when
+// they were opened.
+func compareProgress(x, y *Conn) int {
+	return cmp.Or(x.progress.Compare(y.progress), cmp.Compare(x.number, y.number))
+}
+
+// evictionCandidate returns the connection to end in favour of a new one, or nil: one that
+// waits for its first request, or else for another one, or else a stalled one. Among equals it is
 // the one with the oldest progress.
-func (t *Connections) leastUseful(now time.Time) *Conn {
-	var least *Conn
+func (t *Connections) evictionCandidate(now time.Time) *Conn {
+	var first *Conn
 	for c := range t.all {
 		if c.ended || !stalled(c, now) && c.state != Waiting {
 			continue
 		}
-		if least == nil || cmp.Or(cmp.Compare(usefulness(c), usefulness(least)), c.progress.Compare(least.progress)) < 0 {
-			least = c
+		if first == nil || cmp.Or(cmp.Compare(evictionOrder(c), evictionOrder(first)), compareProgress(c, first)) < 0 {
+			first = c
 		}
 	}
-	return least
+	return first
 }
 
-// usefulness orders the connections that may be ended.
-func usefulness(c *Conn) int {
+// evictionOrder returns the rank of a connection that may be ended; the lowest is ended first.
+func evictionOrder(c *Conn) int {
 	switch {
 	case c.state == Waiting && !c.served:
 		return 0
--- a/node/shortage.go
+++ b/node/shortage.go
@@ -11,8 +11,8 @@
 	// shortageFor is how long a shortage lasts after the last refusal for lack of
 	// capacity, as there are gaps between refusals within one.
 	shortageFor = 5 * time.Second
-	// maxRankCounted limits the ranks that are counted apart. Later ranks are counted with
-	// this one.
+	// maxRankCounted is the last rank that is counted separately. Later ranks are counted
+	// with it.
 	maxRankCounted = 15
 )
 
@@ -22,9 +22,9 @@
 	Shortage bool `json:"shortage"`
 	// Refusals counts the requests that were refused or handed on, by reason and rank.
 	Refusals map[call.Reason]map[int]uint64 `json:"refusals"`
-	// Raised counts the requests that went first because their route was served too
+	// Promoted counts the requests that went first because their route was served too
 	// little.
-	Raised uint64 `json:"raised"`
+	Promoted uint64 `json:"promoted"`
 }
 
 // shortage counts the requests that the gate of the local upstream refuses.
@@ -64,7 +64,7 @@
 	for reason, byRank := range n.shortage.refusals {
 		refusals[reason] = maps.Clone(byRank)
 	}
-	return Shedding{Shortage: n.shortage.present(now), Refusals: refusals, Raised: n.gate.Raised()}
+	return Shedding{Shortage: n.shortage.present(now), Refusals: refusals, Promoted: n.gate.Promoted()}
 }
 
 // logShortage logs when a shortage begins or ends.
@@ -75,7 +75,10 @@
 	}
 	n.shortage.logged = present
 	load := n.gate.Load(now)
-	fields := []any{"refused", n.shortage.refused, "running", load.InFlight, "queued", load.Queued, "slots", load.Slots, "wait", load.Wait}
+	fields := []any{
+		"refused", n.shortage.refused, "running", load.InFlight,
+		"queued", load.Queued, "slots", load.Slots, "wait", load.Wait,
+	}
 	if present {
 		return []Command{LogEntry{Part: "admit", Text: "The upstream has too little capacity. Requests are refused.", Warn: true, Fields: fields}}
 	}
