soak: crowds of incomplete requests, and a bound on the daemons' memory

Cause: the soak had no callers that nobody controls, and did not look at the daemons' memory.

It is drawn apart, so the other events of a seed stay. It excuses no lost answer, and its requests must not run. In the tests the crowd and the bound are added as cases; no expectation changed.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -17,15 +17,16 @@
 const maxDaemons = 120
 
 type soakArgs struct {
-	Daemon    string        `help:"built program of the daemon; empty builds it"`
-	Seed      uint64        `help:"first seed; 0 draws one"`
-	Seeds     int           `help:"how many seeds are played, one after the other from the first" default:"1"`
-	Minutes   float64       `help:"play further seeds until this time is over"`
-	Processes int           `help:"daemons of each run" default:"6"`
-	Length    time.Duration `help:"length of each run" default:"30s"`
-	Jobs      int           `help:"runs at once" default:"2"`
-	NoCold    bool          `arg:"--no-cold" help:"upstreams are not cold after their start, for builds that do not limit requests to them"`
-	Logs      string        `help:"directory that keeps the logs of failed runs; empty makes one"`
+	Daemon        string        `help:"built program of the daemon; empty builds it"`
+	Seed          uint64        `help:"first seed; 0 draws one"`
+	Seeds         int           `help:"how many seeds are played, one after the other from the first" default:"1"`
+	Minutes       float64       `help:"play further seeds until this time is over"`
+	Processes     int           `help:"daemons of each run" default:"6"`
+	Length        time.Duration `help:"length of each run" default:"30s"`
+	Jobs          int           `help:"runs at once" default:"2"`
+	NoCold        bool          `arg:"--no-cold" help:"upstreams are not cold after their start, for builds that do not limit requests to them"`
+	NoMemoryBound bool          `arg:"--no-memory-bound" help:"the memory of the daemons is not checked, for builds that do not limit it"`
+	Logs          string        `help:"directory that keeps the logs of failed runs; empty makes one"`
 }
 
 // validate returns an error for flag values out of range.
@@ -110,9 +111,9 @@
 		fmt.Println("soak:", err)
 		return false
 	}
-	report, err := soak.Run(ctx, soak.Config{Daemon: path, Logs: logs, Seed: seed, Machines: a.Processes, Length: a.Length, NoCold: a.NoCold})
-	fmt.Printf("seed %d: %d events, %d requests, %d served, %d reported not run, %d runs, at most %d in a second at a cold upstream, %d violations\n",
-		seed, len(report.Events), report.Requests, report.Served, report.NotRun, report.Runs, report.ColdMost, len(report.Violations))
+	report, err := soak.Run(ctx, soak.Config{Daemon: path, Logs: logs, Seed: seed, Machines: a.Processes, Length: a.Length, NoCold: a.NoCold, NoMemoryBound: a.NoMemoryBound})
+	fmt.Printf("seed %d: %d events, %d requests, %d served, %d reported not run, %d runs, at most %d in a second at a cold upstream, at most %d MB in a daemon, %d violations\n",
+		seed, len(report.Events), report.Requests, report.Served, report.NotRun, report.Runs, report.ColdMost, report.MemoryMost, len(report.Violations))
 	if err == nil && len(report.Violations) == 0 {
 		_ = os.RemoveAll(logs)
 		return true
--- a/soak/check.go
+++ b/soak/check.go
@@ -46,6 +46,7 @@
 	}
 	out = append(out, h.checkCrashes()...)
 	out = append(out, h.checkCold()...)
+	out = append(out, h.checkMemory()...)
 	return append(out, h.checkRecovery()...)
 }
 
@@ -264,7 +265,7 @@
 // noFaultExcept is noFault without regard to faults of one kind.
 func (h *history) noFaultExcept(kind Kind, from, to time.Time) bool {
 	for _, p := range h.periods {
-		if p.event.Kind != kind && !p.event.isPlanned() && p.from.Before(to) && p.to.Add(recoveryTime).After(from) {
+		if p.event.Kind != kind && p.event.isFault() && p.from.Before(to) && p.to.Add(recoveryTime).After(from) {
 			return false
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -17,6 +17,7 @@
 // refused and resent, and a request on the moving route.
 func goodHistory() *history {
 	h := newHistory()
+	h.memoryBound = 64
 	h.addConfig("lookups", atMs(-9000))
 	h.addConfig("orders", atMs(-8000))
 	h.faultsEnded = atMs(-5000)
@@ -92,6 +93,8 @@
 		"request crashes six upstreams in quick succession": {func(h *history) { h.addCrashes(6, 100*time.Millisecond) }, ""},
 		"too many requests to a cold upstream":              {func(h *history) { h.addCold(60, 28) }, ColdSpared},
 		"as many requests to cold upstreams as allowed":     {func(h *history) { h.addCold(60, 27); h.addCold(9, 3) }, ""},
+		"a daemon with too much memory":                     {func(h *history) { h.addMemory("a-1", 64); h.addMemory("a-1", 65); h.addMemory("a-2", 9) }, MemoryBounded},
+		"a daemon with all of its memory":                   {func(h *history) { h.addMemory("a-1", 64) }, ""},
 		"too few requests served after recovery":            {func(h *history) { h.exchanges[0].result = platformtest.Result{Status: 504} }, Recovers},
 	}
 	for name, test := range tests {
@@ -150,6 +153,7 @@
 		"kill later":              {DaemonKill, atMs(900), atMs(1000), true},
 		"stop during the request": {DaemonStop, atMs(-100), atMs(100), true},
 		"configuration change":    {ConfigChange, atMs(-10), atMs(-10), true},
+		"crowd":                   {Crowd, atMs(-900), atMs(900), true},
 		"upstream drain":          {UpstreamDrain, atMs(-900), atMs(900), true},
 	}
 	for name, test := range tests {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -219,6 +219,8 @@
 		m.storeEndpoint.Set(e.StoreFault)
 		time.Sleep(e.Duration)
 		m.storeEndpoint.Set(platformtest.None)
+	case Crowd:
+		m.receiveCrowd(e)
 	case DaemonStop:
 		m.stop()
 	case DaemonKill:
--- a/soak/history.go
+++ b/soak/history.go
@@ -50,6 +50,10 @@
 	// coldArrivals counts the requests and probes that arrived at cold upstreams, and
 	// coldMost is the largest number of them at one upstream within a second.
 	coldArrivals, coldMost int
+	// memoryMost is the most resident memory of a daemon, in MB, memoryDaemon that daemon, and
+	// memoryBound what is allowed, or 0 without a bound.
+	memoryMost, memoryBound int
+	memoryDaemon            string
 }
 
 func newHistory() *history {
@@ -120,6 +124,8 @@
 	// ColdSpared: a cold upstream is not sent more requests and probes in a second than
 	// the bound.
 	ColdSpared Promise = "coldSpared"
+	// MemoryBounded: the resident memory of a daemon stays within that of its machine.
+	MemoryBounded Promise = "memoryBounded"
 	// Recovers: requests are served again after the faults have ended.
 	Recovers Promise = "recovers"
 	// StaysUp: no process ends unexpectedly. StopsInTime: a daemon stops in time on
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -226,7 +226,7 @@
 		"--admin", hostPort(m.publicIP, p.admin), "--ready", hostPort(m.publicIP, p.ready), "--bind", m.bindIP,
 		"--upstream", hostPort(m.publicIP, p.worker), "--store", m.storeEndpoint.Addr(), "--bounds", platformtest.Bounds,
 		"--assume", "retry", "eject", "spillOver", "handOn", "shed", "slowStart", "quarantine", "loadAware", "probe",
-		"--log-format", "json", "--drain-seconds", "1", "--fleet-size", strconv.Itoa(f.cfg.Machines), "--seeds",
+		"--log-format", "json", "--drain-seconds", "1", "--memory-mb", strconv.Itoa(daemonMemoryMB), "--fleet-size", strconv.Itoa(f.cfg.Machines), "--seeds",
 	}
 	for _, seed := range f.machines[:min(seedCount, len(f.machines))] {
 		args = append(args, hostPort(seed.publicIP, p.control))
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -54,6 +54,9 @@
 	SwitchesOff Kind = "switchesOff"
 	// Evacuation evacuates an availability zone.
 	Evacuation Kind = "evacuation"
+	// Crowd sends many incomplete requests to one or more daemons, on connections that stay
+	// open.
+	Crowd Kind = "crowd"
 )
 
 // eventKinds lists the kinds to draw from. A kind is drawn in proportion to the number
@@ -143,7 +146,7 @@
 	if len(choices) == len(eventKinds) {
 		events = insertStoreReturn(events, seed, length)
 	}
-	return addEvacuation(events, seed, length)
+	return addCrowd(addEvacuation(events, seed, length), seed, machines, length)
 }
 
 // addEvacuation adds an Evacuation to some plans. It draws random numbers of its own, so that
@@ -199,8 +202,9 @@
 	return e
 }
 
-// isPlanned reports whether the event is a planned operation.
-func (e Event) isPlanned() bool { return slices.Contains(plannedKinds, e.Kind) }
+// isFault reports whether answers may be lost because of the event: neither for a planned
+// operation nor for a Crowd.
+func (e Event) isFault() bool { return e.Kind != Crowd && !slices.Contains(plannedKinds, e.Kind) }
 
 // String formats the event on one line.
 func (e Event) String() string {
--- a/soak/run.go
+++ b/soak/run.go
@@ -47,6 +47,9 @@
 	// NoCold leaves out that upstreams are cold after their start, for daemons of a build
 	// that does not limit what it sends to them.
 	NoCold bool
+	// NoMemoryBound leaves out the check of the daemons' memory, for daemons of a build that
+	// does not limit it.
+	NoMemoryBound bool
 }
 
 // Report is the result of a run.
@@ -62,6 +65,8 @@
 	// is the largest number of them at one upstream within a second.
 	ColdArrivals, ColdMost int
 	Evacuations            []EvacuationReport
+	// MemoryMost is the most resident memory of a daemon in MB, or 0 if it cannot be read.
+	MemoryMost int
 	// ReadyAfter is the time from the start of the fleet until all daemons were ready.
 	ReadyAfter time.Duration
 	Violations []Violation
@@ -78,6 +83,9 @@
 		cfg.Length = DefaultLength
 	}
 	h := newHistory()
+	if !cfg.NoMemoryBound {
+		h.memoryBound = daemonMemoryMB
+	}
 	if cfg.Events == nil {
 		cfg.Events = Plan(cfg.Seed, cfg.Machines, cfg.Length)
 	}
@@ -107,7 +115,7 @@
 	}
 	report.Requests, report.Runs = len(h.exchanges), len(h.runs)
 	report.ColdArrivals, report.ColdMost = h.coldArrivals, h.coldMost
-	report.Evacuations = h.evacuations()
+	report.Evacuations, report.MemoryMost = h.evacuations(), h.memoryMost
 	for _, e := range h.exchanges {
 		switch {
 		case e.result.Served():
@@ -133,6 +141,7 @@
 			callers.Go(func() { f.runCaller(ctx, m, rng) })
 		}
 	}
+	callers.Go(func() { f.watchMemory(ctx) })
 	for _, e := range events {
 		if !sleep(ctx, time.Until(start.Add(e.At))) {
 			break
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -104,7 +104,7 @@
 	for _, kind := range []soak.Kind{
 		soak.LinkFault, soak.CallerReset, soak.StoreFault, soak.StoreCompaction, soak.DaemonStop, soak.DaemonKill,
 		soak.DaemonPause, soak.DaemonReload, soak.UpstreamUnhealthy, soak.UpstreamCrash, soak.UpstreamDrain,
-		soak.ConfigChange, soak.ConfigStorm, soak.SwitchesOff, soak.Evacuation,
+		soak.ConfigChange, soak.ConfigStorm, soak.SwitchesOff, soak.Evacuation, soak.Crowd,
 	} {
 		if !seen[kind] {
 			t.Errorf("no plan contains %s", kind)
