--- a/soak/run.go
+++ b/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +51,8 @@
 	// NoMemoryBound leaves out the check of the daemons' memory, for daemons of a build that
 	// does not limit it.
 	NoMemoryBound bool
+	// NoEvacuations leaves evacuations out, for daemons of a build that does not know them.
+	NoEvacuations bool
 }
 
 // Report is the result of a run.
@@ -89,6 +92,9 @@
 	if cfg.Events == nil {
 		cfg.Events = Plan(cfg.Seed, cfg.Machines, cfg.Length)
 	}
+	if cfg.NoEvacuations {
+		cfg.Events = slices.DeleteFunc(slices.Clone(cfg.Events), func(e Event) bool { return e.Kind == Evacuation })
+	}
 	report := Report{Seed: cfg.Seed, Events: cfg.Events}
 	began := time.Now()
 	f, err := newFleet(cfg, h)
