--- a/cmd/pomelodoor/documents.go
+++ b/cmd/pomelodoor/documents.go
@@ -22,7 +22,10 @@
 // daemonScheme distinguishes the admin address of a daemon from a path in --against.
 const daemonScheme = "http://"
 
-var errTruncated = errors.New("incomplete list of documents")
+var (
+	errTruncated   = errors.New("incomplete list of documents")
+	errNoDocuments = errors.New("directory has no .json files")
+)
 
 // documentsPage is the JSON that a daemon's admin port returns for /documents.
 type documentsPage struct {
@@ -104,6 +107,10 @@
 		}
 		return err
 	})
+	if err == nil && len(files) == 0 {
+		// A mistyped directory must not pass for one without faults.
+		err = errNoDocuments
+	}
 	if err != nil {
 		return nil, fmt.Errorf("read documents: %w", err)
 	}
--- a/cmd/pomelodoor/main_test.go
+++ b/cmd/pomelodoor/main_test.go
@@ -47,6 +47,7 @@
 		"check good":          {[]string{"check", good}, exitOK, []string{"good: services/faults revision 1"}},
 		"check bad":           {[]string{"check", good, bad}, exitUsage, []string{"good.json: good: services/faults", "bad.json:2: revision", "bad.json:3: colour"}},
 		"check no file":       {[]string{"check", filepath.Join(dir, "none")}, exitUsage, []string{"none:1: document: "}},
+		"check empty dir":     {[]string{"check", t.TempDir()}, exitUsage, []string{"directory has no .json files"}},
 		"check warnings":      {[]string{"check", hidden}, exitFault, []string{"hidden.json:3: selectors[1]: warning: ", "hidden.json: valid with warnings: services/faults revision 1"}},
 		"check as JSON":       {[]string{"check", "--json", hidden}, exitFault, []string{`{"result":"warning",`, `"line":3,"field":"selectors[1]","text":`, `"severity":"warning"`}},
 		"check against file":  {[]string{"check", "--against", good, newer}, exitOK, []string{"differences from", "  services/faults: number of calls that one upstream runs at once (limits.slots) is now 9, was 8"}},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -117,7 +117,7 @@
 	}
 	d.startTask(d.tick)
 	d.startTask(d.sweep)
-	d.startTask(d.relieve)
+	d.startTask(d.endStalled)
 	if settings.direct() {
 		d.startTask(d.followStore)
 	}
--- a/daemon/guards.go
+++ b/daemon/guards.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// relieveInterval is how often each port is checked for connections to end.
-	relieveInterval = 200 * time.Millisecond
+	// stalledInterval is how often each port is checked for connections to end.
+	stalledInterval = 200 * time.Millisecond
 	// guardLogInterval is the least time between two log lines about what was refused and
 	// ended at a port.
 	guardLogInterval = 5 * time.Second
@@ -84,10 +84,10 @@
 	return r
 }
 
-// relieve ends, until the daemon stops, connections that occupy memory or a place at their port
+// endStalled ends, until the daemon stops, connections that occupy memory or a place at their port
 // without making progress.
-func (d *Daemon) relieve() {
-	ticker := time.NewTicker(relieveInterval)
+func (d *Daemon) endStalled() {
+	ticker := time.NewTicker(stalledInterval)
 	defer ticker.Stop()
 	logged := d.memoryReport()
 	loggedAt := d.started
@@ -99,7 +99,7 @@
 			}
 			if now := time.Now(); now.Sub(loggedAt) >= guardLogInterval {
 				loggedAt = now
-				logged = d.logRelief(logged)
+				logged = d.logEnded(logged)
 			}
 		case <-d.ctx.Done():
 			return
@@ -107,9 +107,9 @@
 	}
 }
 
-// logRelief logs what was refused and ended at each port since the last call, and returns
+// logEnded logs what was refused and ended at each port since the last call, and returns
 // the present state.
-func (d *Daemon) logRelief(before memory.Report) memory.Report {
+func (d *Daemon) logEnded(before memory.Report) memory.Report {
 	status := d.memoryReport()
 	for port, now := range status.Ports {
 		was, is := before.Ports[port].Counts, now.Counts
