--- a/daemon/guards.go
+++ b/daemon/guards.go
@@ -49,7 +49,7 @@
 	controlConns int
 }
 
-// newGuards returns the limits for a machine with memoryMB of memory, 0 if that is not known,
+// newGuards returns the limits for a host with memoryMB of memory, 0 if that is not known,
 // and a process that may open the given number of descriptors.
 func newGuards(memoryMB float64, descriptors int) *guards {
 	account := memory.NewAccount(memory.AccountBytes(memoryMB))
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -39,7 +39,7 @@
 	Zones            string   `arg:"--zones,env:POMELODOOR_ZONES" help:"region of each availability zone of the users' platform, as a JSON object"`
 	Assume           []string `arg:"--assume,env:POMELODOOR_ASSUME" help:"actions allowed while the users' store holds no switches document"`
 	FleetSize        int      `arg:"--fleet-size,env:POMELODOOR_FLEET_SIZE" default:"3000" placeholder:"N" help:"most instances that may start at once; the platform is read accordingly seldom until the list is known"`
-	MemoryMB         float64  `arg:"--memory-mb,env:POMELODOOR_MEMORY_MB" default:"0" placeholder:"MB" help:"memory of the machine in MB, from which the limits on what is held for callers and other daemons follow; 0 if it is not known"`
+	MemoryMB         float64  `arg:"--memory-mb,env:POMELODOOR_MEMORY_MB" default:"0" placeholder:"MB" help:"memory of the host in MB, from which the limits on what is held for callers and other daemons follow; 0 if it is not known"`
 	LogLevel         string   `arg:"--log-level,env:POMELODOOR_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 	LogFormat        string   `arg:"--log-format,env:POMELODOOR_LOG_FORMAT" default:"text" placeholder:"FORMAT" help:"text or json"`
 	DrainSeconds     float64  `arg:"--drain-seconds,env:POMELODOOR_DRAIN_SECONDS" default:"3" placeholder:"S" help:"least time between telling others of a shutdown and closing the ports"`
