--- a/review/standins-2/extra.go
+++ b/review/standins-2/extra.go
@@ -44,7 +44,7 @@
 				time.AfterFunc(after, func() {
 					extras.Add(1)
 					w.note("additional bytes of %s", k.id)
-					_, _ = c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
+					_, _ = c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\n" + header("notRun", "1") + "Content-Length: 0\r\n\r\n"))
 				})
 			}
 		}
