exchange: a response with an invalid field name is none

Cause: the parser refuses control bytes in names, but accepts blanks, ignores one before the colon and joins a line that begins with a blank to the one before. One damaged byte can thus hide the length of the body. Lines that end with LF alone were accepted too, but for the last.

Ruled out: trailers (not forwarded), and control bytes in names or values, which the parser refused.

Change: each line of a head, also of an interim one, is checked before it is parsed: CRLF at its end, a token as its name. What fails, or what the parser refuses, ends the exchange as ErrInvalidHead: the connection is closed, the outcome is unknown (502, invalidResponse), nothing that the head says counts, and it is not taken for a crash. The status line is looked at in the same pass.

Why it works: the head is complete and well-formed before the parser sees it, so both agree on where each line and the head end; all responses that the product reads pass here.

--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -133,7 +133,7 @@
 		return outcome, call.Cancelled
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return outcome, call.DeadlineExceeded
-	case errors.Is(err, exchange.ErrInvalidStatus):
+	case errors.Is(err, exchange.ErrInvalidHead):
 		return outcome, call.InvalidResponse
 	case errors.Is(err, exchange.ErrBusy):
 		return outcome, call.Overloaded
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -30,7 +30,7 @@
 	storeReturns expvar.Int
 	// polls counts the answers of other daemons that read the store for this one.
 	polls expvar.Int
-	// invalidResponses counts responses of the upstream with an invalid status.
+	// invalidResponses counts responses of the upstream with an invalid head.
 	invalidResponses expvar.Int
 	latencies        *latencies
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -237,7 +237,7 @@
 	d.dialect.WriteUpstreamHeaders(&req.Header, request, start)
 	resp := fasthttp.AcquireResponse()
 	err := d.upstream.Do(ctx, req, resp)
-	if errors.Is(err, exchange.ErrInvalidStatus) {
+	if errors.Is(err, exchange.ErrInvalidHead) {
 		d.metrics.invalidResponses.Add(1)
 	}
 	report := d.parseResponse(resp, err)
@@ -303,7 +303,7 @@
 func (d *Daemon) runFailed(ctx context.Context, request call.Request, err error, took time.Duration) *answer {
 	outcome, reason := classifyFailure(ctx, err)
 	mayHaveCrashed := errors.Is(err, exchange.ErrResponseLost) && ctx.Err() == nil &&
-		!errors.Is(err, exchange.ErrBodySource) && !errors.Is(err, exchange.ErrInvalidStatus)
+		!errors.Is(err, exchange.ErrBodySource) && !errors.Is(err, exchange.ErrInvalidHead)
 	crashed := mayHaveCrashed && d.upstreamDown()
 	if crashed {
 		reason = call.UpstreamCrashed
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -56,7 +56,7 @@
 		stop()
 		p.discard(c)
 		p.awaitContextEnd(ctx)
-		if ctx.Err() == nil && errors.Is(err, ErrResponseLost) && !errors.Is(err, ErrInvalidStatus) {
+		if ctx.Err() == nil && errors.Is(err, ErrResponseLost) && !errors.Is(err, ErrInvalidHead) {
 			p.Flush()
 		}
 		return withCause(ctx, err)
@@ -135,7 +135,7 @@
 		_ = c.SetWriteDeadline(time.Time{})
 	}
 	if err != nil {
-		invalid := errors.Is(err, ErrInvalidStatus) && !errors.Is(writeErr, ErrNotSent)
+		invalid := errors.Is(err, ErrInvalidHead) && !errors.Is(writeErr, ErrNotSent)
 		if writeErr != nil && !invalid {
 			return writeErr
 		}
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -8,8 +8,11 @@
 	// ErrResponseLost means that bytes of the request were sent and no complete
 	// response arrived.
 	ErrResponseLost = errors.New("exchange: response lost")
+	// ErrInvalidHead means that the head of a response is malformed, or has an invalid
+	// status. Such an error wraps ErrResponseLost, too.
+	ErrInvalidHead = errors.New("exchange: invalid response head")
 	// ErrInvalidStatus means that a response has a status that none may have: 101, or one
-	// outside 100 to 599. Such an error wraps ErrResponseLost, too.
+	// outside 100 to 599. Such an error wraps ErrInvalidHead, too.
 	ErrInvalidStatus = errors.New("exchange: invalid status")
 	// ErrBodySource means that the source of the request body ended early or failed.
 	ErrBodySource = errors.New("exchange: request body failed")
--- /dev/null
+++ b/exchange/head.go
@@ -0,0 +1,121 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+var (
+	errLineEnd   = errors.New("a line does not end with CRLF")
+	errNoColon   = errors.New("a header line has no colon")
+	errFieldName = errors.New("a field name is no token")
+)
+
+// headCheck checks the lines of a response head in their order (RFC 9112, sections 2.2 and
+// 5). The parser itself accepts blanks in a field name, and appends a line that begins with
+// a blank to the one before; either may hide the length of the body.
+type headCheck struct {
+	// length is the number of bytes in the lines so far.
+	length int
+	// started is set by the status line, and ended by the empty line after the fields.
+	started, ended bool
+	// zeroStatus is set if the status is 000.
+	zeroStatus bool
+}
+
+// checkNextHead waits for the next head and checks it. It consumes nothing. Its error wraps
+// ErrInvalidHead, or is that of the reader.
+func checkNextHead(r *bufio.Reader) (headCheck, error) {
+	var h headCheck
+	for !h.ended {
+		line, err := peekLine(r, h.length)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return h, fmt.Errorf("%w: longer than %d bytes", ErrInvalidHead, r.Size())
+		}
+		if err != nil {
+			return h, fmt.Errorf("wait for a line: %w", err)
+		}
+		if err := h.add(line); err != nil {
+			return h, fmt.Errorf("%w: %w", ErrInvalidHead, err)
+		}
+	}
+	return h, nil
+}
+
+// peekLine waits for the line after the first skip bytes of r, and returns it with its line
+// feed. It consumes nothing.
+func peekLine(r *bufio.Reader, skip int) ([]byte, error) {
+	for searched := skip; ; {
+		text, _ := r.Peek(r.Buffered())
+		if n := bytes.IndexByte(text[searched:], '\n'); n >= 0 {
+			return text[skip : searched+n+1], nil
+		}
+		searched = len(text)
+		if _, err := r.Peek(searched + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// add checks the next line, which ends with a line feed.
+func (h *headCheck) add(line []byte) error {
+	h.length += len(line)
+	text, hasCRLF := bytes.CutSuffix(line, []byte("\r\n"))
+	switch {
+	case !h.started && (hasCRLF && len(text) == 0 || len(line) == 1):
+		// The parser skips empty lines before the status line.
+		return nil
+	case !hasCRLF:
+		return errLineEnd
+	case !h.started:
+		h.started = true
+		h.zeroStatus = hasZeroStatus(text)
+		return nil
+	case len(text) == 0:
+		h.ended = true
+		return nil
+	}
+	return checkField(text)
+}
+
+// hasZeroStatus reports whether the status of a status line is 000.
+func hasZeroStatus(line []byte) bool {
+	_, status, _ := bytes.Cut(line, []byte(" "))
+	status, _, _ = bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
+	return string(status) == "000"
+}
+
+// checkField checks the name of a field. A line that continues the one before (obsolete line
+// folding) has an invalid name, too.
+func checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found {
+		return fmt.Errorf("%w: %.40q", errNoColon, line)
+	}
+	if !isToken(name) {
+		return fmt.Errorf("%w: %.40q", errFieldName, name)
+	}
+	return nil
+}
+
+// isToken reports whether text is a token (RFC 9110, section 5.6.2).
+func isToken(text []byte) bool {
+	for _, b := range text {
+		if !isTokenByte(b) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// isTokenByte reports whether a token may contain a byte.
+func isTokenByte(b byte) bool {
+	switch {
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
