ingress: a response has the daemon's own version, not the upstream's

What callers saw: an upstream speaks HTTP/1.0 and sends no length; the caller gets 200 with the sizes of chunks inside the body.

Cause: the relayed head kept the upstream's version, while the body went out in chunks, which HTTP/1.0 does not have. The caller, or the daemon between, read them as the body.

Ruled out: the upstream's connection, whose reset did end the body with an error; HTTP/1.0 with a length, where the version alone was wrong.

Change: RelayResponse, the only place that forwards a head, sets HTTP/1.1 (RFC 9112, section 2.3), so that the version and the framing of what a daemon sends agree.

--- a/ingress/response.go
+++ b/ingress/response.go
@@ -27,13 +27,18 @@
 	ctx.Response.Header.Set(call.HeaderReason, string(reason))
 }
 
+// protocolVersion is the version of all responses, whatever that of the upstream's: a body in
+// chunks is not part of HTTP/1.0 (RFC 9112, sections 2.3 and 6.1).
+var protocolVersion = []byte("HTTP/1.1")
+
 // RelayResponse relays a response of an upstream or another daemon to the caller,
-// unchanged but for the hop-by-hop headers and those reserved for daemons. The body
+// unchanged but for the version, the hop-by-hop headers and those reserved for daemons. The body
 // may still be a stream; if it ends early, the caller's connection is closed. done is
 // called once the body has been relayed or dropped.
 func RelayResponse(ctx *fasthttp.RequestCtx, from *fasthttp.Response, dialect Dialect, done func()) {
 	length := from.Header.ContentLength()
 	from.Header.CopyTo(&ctx.Response.Header)
+	ctx.Response.Header.SetProtocol(protocolVersion)
 	deleteHopByHopHeaders(&ctx.Response.Header, dialect.EndToEnd)
 	for _, name := range daemonHeaders {
 		ctx.Response.Header.Del(name)
