exchange: a status line with a control byte makes the head invalid

What callers saw: an upstream's response with a control byte in its reason phrase (NUL, DEL, an escape) is relayed as it came; strict clients cannot read it.

Cause: the parser refuses control bytes in fields, but not in the reason phrase.

Change: headCheck refuses control bytes other than a tab in the status line (RFC 9112, section 4). Reasons with tabs, bytes above 127 or none at all stay valid, with tests.

--- a/exchange/head.go
+++ b/exchange/head.go
@@ -9,14 +9,16 @@
 )
 
 var (
-	errLineEnd   = errors.New("a line does not end with CRLF")
-	errNoColon   = errors.New("a header line has no colon")
-	errFieldName = errors.New("a field name is no token")
+	errLineEnd     = errors.New("a line does not end with CRLF")
+	errControlByte = errors.New("the status line has a control byte")
+	errNoColon     = errors.New("a header line has no colon")
+	errFieldName   = errors.New("a field name is no token")
 )
 
 // headCheck checks the lines of a response head in their order (RFC 9112, sections 2.2 and
 // 5). The parser itself accepts blanks in a field name, and appends a line that begins with
-// a blank to the one before; either may hide the length of the body.
+// a blank to the one before; either may hide the length of the body. It also accepts control
+// bytes in the status line, which a strict client refuses.
 type headCheck struct {
 	// length is the number of bytes in the lines so far.
 	length int
@@ -71,9 +73,7 @@
 	case !hasCRLF:
 		return errLineEnd
 	case !h.started:
-		h.started = true
-		h.zeroStatus = hasZeroStatus(text)
-		return nil
+		return h.addStatusLine(text)
 	case len(text) == 0:
 		h.ended = true
 		return nil
@@ -81,13 +81,22 @@
 	return checkField(text)
 }
 
-// hasZeroStatus reports whether the status of a status line is 000.
-func hasZeroStatus(line []byte) bool {
+// addStatusLine checks a status line, and leaves the digits of the status to the parser.
+func (h *headCheck) addStatusLine(line []byte) error {
+	h.started = true
+	if bytes.ContainsFunc(line, isControl) {
+		return fmt.Errorf("%w: %.40q", errControlByte, line)
+	}
 	_, status, _ := bytes.Cut(line, []byte(" "))
 	status, _, _ = bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
-	return string(status) == "000"
+	h.zeroStatus = string(status) == "000"
+	return nil
 }
 
+// isControl reports whether a character is a control byte, of which a reason phrase may
+// contain only the tab (RFC 9112, section 4).
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' }
+
 // checkField checks the name of a field. A line that continues the one before (obsolete line
 // folding) has an invalid name, too.
 func checkField(line []byte) error {
--- a/exchange/head_test.go
+++ b/exchange/head_test.go
@@ -80,6 +80,10 @@
 		"control byte in a value":          {text: first + "A: \x01\r\n" + last},
 		"two lengths":                      {text: first + "Content-Length: 3\r\n" + last},
 		"longer than the buffer":           {text: first + "A: " + strings.Repeat("b", 16<<10) + "\r\n" + last},
+		"NUL in the reason":                {text: "HTTP/1.1 200 O\x00K\r\n" + last},
+		"carriage return in the reason":    {text: "HTTP/1.1 200 O\rK\r\n" + last},
+		"DEL in the reason":                {text: "HTTP/1.1 200 OK\x7f\r\n" + last},
+		"escape in an interim's reason":    {text: "HTTP/1.1 103 \x1b[1m\r\n\r\n" + first + last},
 		"in an interim response":           {text: "HTTP/1.1 103 Early\r\nA B: c\r\n\r\n" + first + last},
 		"after an interim response":        {text: "HTTP/1.1 103 Early\r\n\r\n" + first + "A B: c\r\n" + last},
 		"valid":                            {text: first + last, body: "ok"},
@@ -88,6 +92,9 @@
 		"valid, no value":                  {text: first + "A:\r\n" + last, body: "ok"},
 		"valid, colon in a value":          {text: first + "A:B: c\r\n" + last, body: "ok"},
 		"valid, bytes above 127 in values": {text: first + "A: \x80\xff\r\n" + last, body: "ok"},
+		"valid, tab in the reason":         {text: "HTTP/1.1 200 O\tK\r\n" + last, body: "ok"},
+		"valid, reason above 127":          {text: "HTTP/1.1 200 \xc3\xa9\xff\r\n" + last, body: "ok"},
+		"valid, no reason":                 {text: "HTTP/1.1 200\r\n" + last, body: "ok"},
 		"valid, no fields":                 {text: "HTTP/1.1 200 OK\r\n\r\nok", body: "ok"},
 	}
 	for name, test := range tests {
