exchange: a response of an unknown version, or HTTP/1.0 with chunks, is none

What callers saw: an upstream's status line says HTTP/1.2 or 2.0, or HTTP/1.0 with a body in chunks; the caller gets a complete 200 with the sizes of the chunks inside the body, or one of that version.

Cause: the parser accepts any version of two digits, but reads chunks for HTTP/1.1 only. In all others they were the body, up to the end of the connection.

Ruled out: HTTP/1.0 without a transfer coding, which stays valid, with and without a length.

Change: headCheck refuses versions other than HTTP/1.0 and HTTP/1.1, and a transfer coding with HTTP/1.0, whose framing RFC 9112, section 6.1, calls faulty.

--- a/exchange/head.go
+++ b/exchange/head.go
@@ -6,10 +6,14 @@
 	"errors"
 	"fmt"
 	"strings"
+
+	"github.com/valyala/fasthttp"
 )
 
 var (
 	errLineEnd     = errors.New("a line does not end with CRLF")
+	errVersion     = errors.New("the version is neither HTTP/1.0 nor HTTP/1.1")
+	errCoding      = errors.New("an HTTP/1.0 response has a transfer coding")
 	errControlByte = errors.New("the status line has a control byte")
 	errNoColon     = errors.New("a header line has no colon")
 	errFieldName   = errors.New("a field name is no token")
@@ -24,6 +28,8 @@
 	length int
 	// started is set by the status line, and ended by the empty line after the fields.
 	started, ended bool
+	// oldVersion is set if the version is HTTP/1.0.
+	oldVersion bool
 	// zeroStatus is set if the status is 000.
 	zeroStatus bool
 }
@@ -78,7 +84,7 @@
 		h.ended = true
 		return nil
 	}
-	return checkField(text)
+	return h.addField(text)
 }
 
 // addStatusLine checks a status line, and leaves the digits of the status to the parser.
@@ -87,7 +93,11 @@
 	if bytes.ContainsFunc(line, isControl) {
 		return fmt.Errorf("%w: %.40q", errControlByte, line)
 	}
-	_, status, _ := bytes.Cut(line, []byte(" "))
+	version, status, _ := bytes.Cut(line, []byte(" "))
+	h.oldVersion = string(version) == "HTTP/1.0"
+	if !h.oldVersion && string(version) != "HTTP/1.1" {
+		return fmt.Errorf("%w: %.40q", errVersion, version)
+	}
 	status, _, _ = bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
 	h.zeroStatus = string(status) == "000"
 	return nil
@@ -97,15 +107,18 @@
 // contain only the tab (RFC 9112, section 4).
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' }
 
-// checkField checks the name of a field. A line that continues the one before (obsolete line
-// folding) has an invalid name, too.
-func checkField(line []byte) error {
+// addField checks a field. A line that continues the one before (obsolete line folding) has
+// an invalid name, too.
+func (h *headCheck) addField(line []byte) error {
 	name, _, found := bytes.Cut(line, []byte(":"))
-	if !found {
+	switch {
+	case !found:
 		return fmt.Errorf("%w: %.40q", errNoColon, line)
-	}
-	if !isToken(name) {
+	case !isToken(name):
 		return fmt.Errorf("%w: %.40q", errFieldName, name)
+	case h.oldVersion && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding):
+		// The parser takes the chunks for the body (RFC 9112, section 6.1).
+		return errCoding
 	}
 	return nil
 }
--- a/exchange/head_test.go
+++ b/exchange/head_test.go
@@ -84,6 +84,12 @@
 		"carriage return in the reason":    {text: "HTTP/1.1 200 O\rK\r\n" + last},
 		"DEL in the reason":                {text: "HTTP/1.1 200 OK\x7f\r\n" + last},
 		"escape in an interim's reason":    {text: "HTTP/1.1 103 \x1b[1m\r\n\r\n" + first + last},
+		"version 2.0":                      {text: "HTTP/2.0 200 OK\r\n" + last},
+		"version 1.2":                      {text: "HTTP/1.2 200 OK\r\n" + last},
+		"version 0.9":                      {text: "HTTP/0.9 200 OK\r\n" + last},
+		"version 1.2, chunks":              {text: "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		"version 1.0, chunks":              {text: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		"version 1.0, chunks and a length": {text: "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
 		"in an interim response":           {text: "HTTP/1.1 103 Early\r\nA B: c\r\n\r\n" + first + last},
 		"after an interim response":        {text: "HTTP/1.1 103 Early\r\n\r\n" + first + "A B: c\r\n" + last},
 		"valid":                            {text: first + last, body: "ok"},
@@ -95,6 +101,8 @@
 		"valid, tab in the reason":         {text: "HTTP/1.1 200 O\tK\r\n" + last, body: "ok"},
 		"valid, reason above 127":          {text: "HTTP/1.1 200 \xc3\xa9\xff\r\n" + last, body: "ok"},
 		"valid, no reason":                 {text: "HTTP/1.1 200\r\n" + last, body: "ok"},
+		"valid, version 1.0":               {text: "HTTP/1.0 200 OK\r\n" + last, body: "ok"},
+		"valid, version 1.0, no length":    {text: "HTTP/1.0 200 OK\r\nA: b\r\n\r\nok", body: "ok"},
 		"valid, no fields":                 {text: "HTTP/1.1 200 OK\r\n\r\nok", body: "ok"},
 	}
 	for name, test := range tests {
