--- a/exchange/head_test.go
+++ b/exchange/head_test.go
@@ -139,7 +139,7 @@
 }
 
 // TestDamagedHeads damages each byte of a response up to the end of its head: what is
-// delivered is what another parser reads, too.
+// delivered is what net/http reads, too.
 func TestDamagedHeads(t *testing.T) {
 	responses := map[string]string{
 		"length":           "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\nLoad: 1,2,3\r\n\r\nA: b\r\n\r\nc",
@@ -154,7 +154,7 @@
 			head := id + strings.Index(response[id:], "\r\n\r\n") + len("\r\n\r\n")
 			for at := range head {
 				for _, damaged := range damages(response, at) {
-					checkLikeElsewhere(t, damaged)
+					checkAgainstNetHTTP(t, damaged)
 				}
 			}
 		})
@@ -172,23 +172,23 @@
 	return all
 }
 
-// checkLikeElsewhere fails if a response is delivered that another parser refuses or reads
-// in a different way.
-func checkLikeElsewhere(t *testing.T, text string) {
+// checkAgainstNetHTTP fails if a response is delivered that net/http refuses or reads in a
+// different way.
+func checkAgainstNetHTTP(t *testing.T, text string) {
 	t.Helper()
 	status, body, err := receive(text, 0)
 	if err != nil {
 		return
 	}
-	wantStatus, wantBody, err := readElsewhere(text)
+	wantStatus, wantBody, err := readWithNetHTTP(text)
 	if err != nil || status != wantStatus || !bytes.Equal(body, wantBody) {
-		t.Errorf("%q: got status %d and body %q; another parser reads %d, %q and error %v", text, status, body, wantStatus, wantBody, err)
+		t.Errorf("%q: got status %d and body %q; net/http reads %d, %q and error %v", text, status, body, wantStatus, wantBody, err)
 	}
 }
 
-// readElsewhere reads the final response of a text with the standard library, which refuses
-// the empty lines that Do skips before a status line.
-func readElsewhere(text string) (status int, body []byte, err error) {
+// readWithNetHTTP reads the final response of a text with net/http, which refuses the empty
+// lines that Do skips before a status line.
+func readWithNetHTTP(text string) (status int, body []byte, err error) {
 	r := bufio.NewReader(strings.NewReader(text))
 	for status < http.StatusOK {
 		for next, _ := r.Peek(1); string(next) == "\r" || string(next) == "\n"; next, _ = r.Peek(1) {
