exchange: the empty line at the end of a head is named once

Found on reading the diff: two cases of headCheck.add described the same line in different ways. Comments are rewrapped.

--- a/exchange/head_check.go
+++ b/exchange/head_check.go
@@ -72,15 +72,16 @@
 func (h *headCheck) add(line []byte) error {
 	h.length += len(line)
 	text, hasCRLF := bytes.CutSuffix(line, []byte("\r\n"))
+	empty := string(line) == "\r\n" || string(line) == "\n"
 	switch {
-	case !h.started && (hasCRLF && len(text) == 0 || len(line) == 1):
+	case empty && !h.started:
 		// The parser skips empty lines before the status line.
 		return nil
 	case !hasCRLF:
 		return errLineEnd
 	case !h.started:
 		return h.addStatusLine(text)
-	case len(text) == 0:
+	case empty:
 		h.ended = true
 		return nil
 	}
@@ -103,8 +104,8 @@
 	return nil
 }
 
-// isControl reports whether a character is a control byte, of which a reason phrase may
-// contain only the tab (RFC 9112, section 4).
+// isControl reports whether a character is a control character other than the tab, which alone
+// may be part of a reason phrase (RFC 9112, section 4).
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' }
 
 // addField checks a field. A line that continues the one before (obsolete line folding) has
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -32,9 +32,9 @@
 var protocolVersion = []byte("HTTP/1.1")
 
 // RelayResponse relays a response of an upstream or another daemon to the caller,
-// unchanged but for the version, the hop-by-hop headers and those reserved for daemons. The body
-// may still be a stream; if it ends early, the caller's connection is closed. done is
-// called once the body has been relayed or dropped.
+// unchanged but for the version, the hop-by-hop headers and those reserved for
+// daemons. The body may still be a stream; if it ends early, the caller's connection
+// is closed. done is called once the body has been relayed or dropped.
 func RelayResponse(ctx *fasthttp.RequestCtx, from *fasthttp.Response, dialect Dialect, done func()) {
 	length := from.Header.ContentLength()
 	from.Header.CopyTo(&ctx.Response.Header)
