follow: the end of an outage of the store is noticed in time to apply removals

Cause: a key that disappears within 2.5 s of the first answer after an outage is retained, since its writer may only have been cut off. That answer came up to 4.4 s after the return of the store: a list sent just before it had no answer for 2 s, and a backoff of up to 2.4 s began only then. Waits, polls and a second start of the time at daemons that poll added to it (docs/incidents/late-removal-after-outage.md).

Ruled out: removals that are not read. In the simulation each daemon had read them, and retained the key.

Change: the backoff counts from the start of the failed call and is at most 1.8 s; actions end when a retained key expires; daemons that poll take over the end of their reader's time; the second and third reader of a zone have no longer backoff than the first; a poll during a fault lasts at most half of the bound. Failed and the retention have files of their own.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,17 +17,8 @@
 	DefaultRetention = 2500 * time.Millisecond
 )
 
-const (
-	// minBackoff is the wait after the first failure; it doubles with each
-	// further failure, up to maxBackoff.
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 1600 * time.Millisecond
-	// pollerBackoffFactor lengthens the backoff of daemons that poll readers:
-	// those tell them when the store responds again.
-	pollerBackoffFactor = 4
-	// maxTombstones limits the removed keys that are remembered.
-	maxTombstones = 4096
-)
+// maxTombstones limits the removed keys that are remembered.
+const maxTombstones = 4096
 
 // Config configures a Follower. Zero durations select the defaults.
 type Config struct {
@@ -151,10 +142,15 @@
 
 	failures  int
 	notBefore time.Time
+	// calledAt is the time at which the call in progress began; zero if there is none.
+	calledAt time.Time
 	// graceUntil is the time until which a missing key is retained, because the
 	// store fault may have caused its absence.
 	graceUntil time.Time
-	inFault    bool
+	// readerGraceUntil is the end of the grace period of a reader to which the store has
+	// responded while this daemon is in the fault; zero if there is none.
+	readerGraceUntil time.Time
+	inFault          bool
 }
 
 // New returns a Follower with an empty copy.
@@ -179,6 +175,15 @@
 
 // Next returns the next action. It must not be called while an action is in progress.
 func (f *Follower) Next(now time.Time) Action {
+	action := f.nextAction(now)
+	f.calledAt = time.Time{}
+	if action.Kind == List || action.Kind == Watch {
+		f.calledAt = now
+	}
+	return f.endByExpiry(action, now)
+}
+
+func (f *Follower) nextAction(now time.Time) Action {
 	if f.Polls() {
 		return f.nextPoll(now)
 	}
@@ -192,11 +197,7 @@
 	if f.readRequested {
 		return f.read()
 	}
-	wait := f.watchTimeout(now)
-	if expiry, ok := f.nextExpiry(); ok {
-		wait = min(wait, max(expiry.Sub(now), 0))
-	}
-	return Action{Kind: Watch, Era: f.era, Revision: f.revision, Timeout: wait}
+	return Action{Kind: Watch, Era: f.era, Revision: f.revision, Timeout: f.watchTimeout(now)}
 }
 
 // Listed applies one page. It reports whether the copy may have changed. A page of a lower
@@ -311,108 +312,9 @@
 	f.listed, f.pendingItems, f.lastKey = false, nil, ""
 }
 
-// Failed records that a List or a Watch failed. A daemon that reads for itself lists the
-// whole store again: an interrupted watch may have missed the last changes, and a list
-// returns at once when the store has recovered.
-func (f *Follower) Failed(now time.Time) {
-	f.inFault = true
-	f.behindSince, f.watchAbandoned = time.Time{}, false
-	f.failures++
-	backoff := min(minBackoff<<min(f.failures-1, 8), maxBackoff)
-	if f.Polls() {
-		backoff *= pollerBackoffFactor
-	} else {
-		f.listed, f.pendingItems, f.lastKey = false, nil, ""
-	}
-	f.notBefore, f.failedAt, f.requestedReadAt = now.Add(f.jittered(backoff)), now, time.Time{}
-	f.awaitAnswer(now)
-}
-
 // Items returns the copy. The caller must not modify it, and must not use it after
 // the next call of another method.
 func (f *Follower) Items() map[string]Item { return f.items }
 
 // Revision returns the store's revision of the copy.
 func (f *Follower) Revision() uint64 { return f.revision }
-
-// InFault reports whether the last call to the store failed.
-func (f *Follower) InFault() bool { return f.inFault }
-
-// Expire removes the retained keys that have expired, and reports whether there
-// were any.
-func (f *Follower) Expire(now time.Time) bool { return f.expire(now) }
-
-// answered records a response of the store.
-func (f *Follower) answered(now time.Time) {
-	if f.inFault {
-		f.inFault = false
-		f.graceUntil = now.Add(f.cfg.Retention)
-	}
-	f.failures = 0
-	f.unansweredSince = time.Time{}
-	f.behindSince, f.watchAbandoned = time.Time{}, false
-}
-
-// replace replaces the copy with a complete list.
-func (f *Follower) replace(items map[string]Item, now time.Time) {
-	old := f.items
-	f.items = items
-	for key := range f.retainedUntil {
-		if _, present := items[key]; present {
-			delete(f.retainedUntil, key)
-		}
-	}
-	if !now.Before(f.graceUntil) {
-		clear(f.retainedUntil)
-		return
-	}
-	for key, item := range old {
-		if _, present := items[key]; !present {
-			f.items[key] = item
-			f.retain(key)
-		}
-	}
-}
-
-// remove removes a key, or retains it until the grace period after a fault ends.
-func (f *Follower) remove(key string, now time.Time) {
-	if _, present := f.items[key]; !present {
-		return
-	}
-	if now.Before(f.graceUntil) {
-		f.retain(key)
-		return
-	}
-	delete(f.items, key)
-	delete(f.retainedUntil, key)
-}
-
-func (f *Follower) retain(key string) {
-	if _, retained := f.retainedUntil[key]; !retained {
-		f.retainedUntil[key] = f.graceUntil
-	}
-}
-
-// expire removes the retained keys that have expired.
-func (f *Follower) expire(now time.Time) bool {
-	changed := false
-	for key, expiry := range f.retainedUntil {
-		if !now.Before(expiry) {
-			delete(f.items, key)
-			delete(f.retainedUntil, key)
-			changed = true
-		}
-	}
-	return changed
-}
-
-// nextExpiry returns the time at which the next retained key expires.
-func (f *Follower) nextExpiry() (time.Time, bool) {
-	var next time.Time
-	for _, expiry := range f.retainedUntil {
-		if next.IsZero() || expiry.Before(next) {
-			next = expiry
-		}
-	}
-	return next, !next.IsZero()
-}
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -88,7 +88,12 @@
 		return Action{Kind: Wait, At: earlier(usableAt, readAt)}
 	}
 	f.nextPollAt = now.Add(minPollInterval)
-	return Action{Kind: Poll, Reader: reader, Era: f.era, Revision: f.revision, Timeout: readAt.Sub(now)}
+	wait := readAt.Sub(now)
+	if f.inFault {
+		// The next read is far away, and the reader may not answer either.
+		wait = min(wait, f.cfg.percent(readIntervalPercent))
+	}
+	return Action{Kind: Poll, Reader: reader, Era: f.era, Revision: f.revision, Timeout: wait}
 }
 
 // readAt returns when a daemon that polls reads the store itself.
@@ -180,6 +185,9 @@
 	}
 	age := c.Age + now.Sub(receivedBy(c.Received, now))
 	f.judgeReader(c, from, age, now)
+	if c.Grace > 0 {
+		f.adoptGrace(now.Add(c.Grace))
+	}
 	if c.ReadStore {
 		f.readRequested = true
 		if age < f.cfg.percent(maxAgePercent) {
@@ -187,9 +195,6 @@
 		}
 		return false
 	}
-	if grace := now.Add(c.Grace); c.Grace > 0 && grace.After(f.graceUntil) {
-		f.graceUntil = grace
-	}
 	changed := f.expire(now)
 	if c.Revision > f.revision {
 		changed = f.applyChanges(c.Items, now) || changed
@@ -197,12 +202,22 @@
 		f.nextPollAt = time.Time{}
 	}
 	if confirmed := now.Add(-age); age < f.cfg.percent(maxAgePercent) && confirmed.After(f.confirmedAt) {
-		f.answered(now)
+		// The grace period of this daemon is that of the reader, adopted above: it began
+		// when the store responded to the reader.
+		f.recovered()
 		f.confirm(confirmed)
 	}
 	return changed
 }
 
+// adoptGrace takes over the end of a reader's grace period.
+func (f *Follower) adoptGrace(until time.Time) {
+	f.graceUntil = later(f.graceUntil, until)
+	if f.inFault {
+		f.readerGraceUntil = until
+	}
+}
+
 // judgeReader decides from the answer to a poll whether the reader is polled again at once.
 // A reader with an old copy is not to blame while this daemon gets nothing from the store
 // either. If all readers stayed suspected after a long outage, nobody would tell this daemon
@@ -243,7 +258,8 @@
 		return c
 	}
 	if after.Era != f.era || after.Revision < f.historyFrom {
-		return Copy{Era: f.era, Revision: f.revision, Age: c.Age, ReadStore: true}
+		c.ReadStore = true
+		return c
 	}
 	size := 0
 	for _, item := range f.items {
@@ -259,7 +275,7 @@
 		}
 	}
 	if size > maxBytes {
-		return Copy{Era: f.era, Revision: f.revision, Age: c.Age, ReadStore: true}
+		c.Items, c.ReadStore = nil, true
 	}
 	return c
 }
--- a/follow/simulation_test.go
+++ b/follow/simulation_test.go
@@ -18,7 +18,10 @@
 	storeDelay   = 4 * time.Millisecond
 	memberDelay  = time.Millisecond
 	answerMargin = 50 * time.Millisecond
-	callTimeout  = time.Second
+	// listTimeout is how long a list may take, and watchMargin how much longer than its
+	// waiting time a watch.
+	listTimeout = 2 * time.Second
+	watchMargin = time.Second
 )
 
 // simEvent is something that happens at a time.
@@ -112,19 +115,20 @@
 // newSimFleet returns a fleet in zones of a size. In each, the first three members read
 // for the others, also while they are disturbed.
 func newSimFleet(members, zone int, seed uint64) *simFleet {
+	return newSimFleetWithin(simApplyWithin, members, zone, seed)
+}
+
+// newSimFleetWithin returns a fleet that applies changes within a time. Without zones,
+// each member reads the store itself.
+func newSimFleetWithin(applyWithin time.Duration, members, zone int, seed uint64) *simFleet {
 	s := &simFleet{
 		now: start, random: rand.New(rand.NewPCG(seed, 1)), items: map[string]follow.Item{}, revision: 1,
 		changedAt: map[follow.Version]time.Time{}, callsBy: map[int]int{},
 	}
 	for id := range members {
-		m := &simMember{fleet: s, id: id, f: follow.New(follow.Config{ApplyWithin: simApplyWithin, Rand: s.random.Uint64})}
-		first := id / zone * zone
-		readers := []string{fmt.Sprint(first), fmt.Sprint(first + 1), fmt.Sprint(first + 2)}
-		if rank := id - first; rank < len(readers) {
-			m.f.SetReaders(readers[:rank], true)
-		} else {
-			readers[0], readers[1] = readers[id%2], readers[1-id%2]
-			m.f.SetReaders(readers, false)
+		m := &simMember{fleet: s, id: id, f: follow.New(follow.Config{ApplyWithin: applyWithin, Rand: s.random.Uint64})}
+		if zone > 0 {
+			m.setReaders(id / zone * zone)
 		}
 		s.members = append(s.members, m)
 		s.after(time.Duration(s.random.IntN(300))*time.Millisecond, m.act)
@@ -132,6 +136,17 @@
 	return s
 }
 
+// setReaders sets the readers of a member whose zone begins with the given one.
+func (m *simMember) setReaders(first int) {
+	readers := []string{fmt.Sprint(first), fmt.Sprint(first + 1), fmt.Sprint(first + 2)}
+	if rank := m.id - first; rank < len(readers) {
+		m.f.SetReaders(readers[:rank], true)
+		return
+	}
+	readers[0], readers[1] = readers[m.id%2], readers[1-m.id%2]
+	m.f.SetReaders(readers, false)
+}
+
 func (s *simFleet) after(d time.Duration, run func()) {
 	s.order++
 	heap.Push(&s.queue, simEvent{s.now.Add(max(d, 0)), s.order, run})
@@ -218,6 +233,7 @@
 		case follow.Poll:
 			m.poll(action)
 		default:
+			action.Timeout = min(action.Timeout, follow.WatchTimeout(len(m.fleet.members)))
 			m.callStore(action)
 		}
 	})
@@ -267,7 +283,11 @@
 			m.end(func() { m.f.Failed(s.now) })
 		}
 	}
-	s.after(action.Timeout+callTimeout, fail)
+	timeout := action.Timeout + watchMargin
+	if action.Kind == follow.List {
+		timeout = listTimeout
+	}
+	s.after(timeout, fail)
 	if s.storeDown() || m.fault == storeCut || m.fault == cutOff {
 		return
 	}
