follow: a daemon that polls goes on polling with a borrowed copy

Cause: a borrowed copy made a daemon list the store, and one that has to list does not poll. It kept the long backoff of a daemon that polls, up to 7.2 s, and did not hear its reader.

Ruled out: the backoff of the readers, whose copy was current 0.7 s after the return.

Change: a daemon that polls keeps polling after ApplyCopy, and the long backoff holds only for its own reads while it polls.

--- a/follow/copy.go
+++ b/follow/copy.go
@@ -85,8 +85,9 @@
 
 // ApplyCopy replaces the copy with that of another daemon if that is newer, and reports
 // whether it did. A certain copy counts as one of the required lenders even if it
-// is empty because the lender has nothing newer. The store is still listed as soon
-// as it answers. A copy of a lower era than the one held is ignored.
+// is empty because the lender has nothing newer. A daemon that reads for itself still
+// lists the store as soon as that answers; one that polls goes on polling. A copy of a
+// lower era than the one held is ignored.
 func (f *Follower) ApplyCopy(c Copy, from string, now time.Time) bool {
 	if c.Era < f.era {
 		return false
@@ -113,7 +114,8 @@
 		clear(f.retainedUntil)
 	}
 	f.forgetHistory(c.Revision)
-	f.revision, f.lentVersion, f.listed = c.Revision, c.version(), false
+	// A daemon that polls gets the later changes from its reader.
+	f.revision, f.lentVersion, f.listed = c.Revision, c.version(), f.Polls()
 	f.confirmedAt = later(f.confirmedAt, receivedBy(c.Received, now).Add(-c.Age))
 	return true
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -142,6 +142,9 @@
 
 	failures  int
 	notBefore time.Time
+	// pollerReadAt is when a daemon that polls readers reads the store itself after a
+	// failed read.
+	pollerReadAt time.Time
 	// calledAt is the time at which the call in progress began; zero if there is none.
 	calledAt time.Time
 	// graceUntil is the time until which a missing key is retained, because the
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -25,7 +25,12 @@
 		// The store has failed again since it responded to the reader.
 		f.readerGraceUntil = time.Time{}
 	}
-	f.notBefore, f.failedAt, f.requestedReadAt = f.retryAt(now), now, time.Time{}
+	f.failedAt, f.requestedReadAt = now, time.Time{}
+	f.notBefore = f.retryAt(f.backoff(), now)
+	f.pollerReadAt = f.notBefore
+	if !f.shared {
+		f.pollerReadAt = f.retryAt(f.backoff()*pollerBackoffFactor, now)
+	}
 	if !f.Polls() {
 		f.listed, f.pendingItems, f.lastKey = false, nil, ""
 	}
@@ -35,22 +40,17 @@
 // retryAt returns when the next call is made after one that has failed. The backoff counts
 // from the start of the failed call: one that had no response for long is repeated at once,
 // since the store may have returned just after it was sent.
-func (f *Follower) retryAt(now time.Time) time.Time {
+func (f *Follower) retryAt(backoff time.Duration, now time.Time) time.Time {
 	calledAt := f.calledAt
 	if calledAt.IsZero() {
 		calledAt = now
 	}
-	return later(now.Add(f.jittered(minBackoff)), calledAt.Add(f.jittered(f.backoff())))
+	return later(now.Add(f.jittered(minBackoff)), calledAt.Add(f.jittered(backoff)))
 }
 
-// backoff returns the average time between two calls after the failures so far. Only
-// daemons for which others read wait longer than maxBackoff.
+// backoff returns the average time between two calls after the failures so far.
 func (f *Follower) backoff() time.Duration {
-	backoff := min(minBackoff<<min(f.failures-1, 8), maxBackoff)
-	if f.Polls() && !f.shared {
-		backoff *= pollerBackoffFactor
-	}
-	return backoff
+	return min(minBackoff<<min(f.failures-1, 8), maxBackoff)
 }
 
 // InFault reports whether the last call to the store failed.
--- a/follow/outage_test.go
+++ b/follow/outage_test.go
@@ -16,6 +16,8 @@
 	leaveAfter = 3050 * time.Millisecond
 	// leaveDrain is how long the upstream serves after that.
 	leaveDrain = 2 * time.Second
+	// returnInterval is the interval at which others write their keys again.
+	returnInterval = 300 * time.Millisecond
 )
 
 // TestRemovalAfterOutageIsApplied guards against a key that is retained, because of an
@@ -39,6 +41,9 @@
 				s.after(time.Second, func() { s.change("leaving", false) })
 				s.after(down, func() { s.storeDownUntil = start.Add(up) })
 				s.after(down+time.Second, func() { s.stopReaders(test.zone, test.lost) })
+				for i := range rapid.IntRange(0, 6).Draw(t, "returns") {
+					s.after(up+time.Duration(i)*returnInterval, func() { s.change(fmt.Sprintf("returned%d", i), false) })
+				}
 				s.leave("leaving", up+leaveAfter)
 				s.play(up + 10*time.Second)
 				if len(s.violations) > 0 {
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -100,9 +100,9 @@
 func (f *Follower) readAt() time.Time {
 	switch {
 	case f.inFault && !f.requestedReadAt.IsZero():
-		return earlier(f.notBefore, f.requestedReadAt)
+		return earlier(f.pollerReadAt, f.requestedReadAt)
 	case f.inFault:
-		return f.notBefore
+		return f.pollerReadAt
 	case f.shared:
 		return f.confirmedAt.Add(f.cfg.percent(takeOverPercent))
 	}
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -39,6 +39,16 @@
 	return func(f *follow.Follower, now time.Time) { f.Watched(follow.Page{AsOf: asOf, Received: by}, now) }
 }
 
+// borrowed applies the copy of another daemon at a revision.
+func borrowed(revision uint64) step {
+	return func(f *follow.Follower, now time.Time) {
+		f.ApplyCopy(follow.Copy{Revision: revision, Items: []follow.Item{item("a", 1), item("b", revision)}}, "lender", now)
+	}
+}
+
+// withoutReaders makes the daemon read the store itself.
+func withoutReaders(f *follow.Follower, _ time.Time) { f.SetReaders(nil, false) }
+
 func TestPolling(t *testing.T) {
 	poll := func(reader string, revision uint64, ms int) follow.Action {
 		return follow.Action{Kind: follow.Poll, Reader: reader, Revision: revision, Timeout: time.Duration(ms) * time.Millisecond}
@@ -79,9 +89,13 @@
 		"a failed read does not follow at once":           {[]event{{1300, failed}, {1310, failed}, {1320, polled(readStore(100), "r-1")}}, 1400, wait(1410)},
 		"a failed read follows often":                     {[]event{{1300, failed}, {1400, failed}, {1500, failed}, {1600, failed}, {1700, failed}, {1800, polled(readStore(0), "r-1")}}, 2260, read(5)},
 		"a failed read ignores a reader with an old copy": {[]event{{1300, failed}, {1310, failed}, {1320, polled(readStore(1300), "r-1")}}, 1410, poll("r-2", 5, 300)},
-		"an answer counts from its receipt":               {[]event{{1300, received(at(400), 5)}}, 1310, poll("r-1", 5, 390)},
-		"a reader's answer counts from its receipt":       {[]event{{1200, polled(follow.Copy{Revision: 5, Age: 50 * time.Millisecond, Received: at(450)}, "r-1")}}, 1210, poll("r-1", 5, 490)},
-		"lost history is listed":                          {[]event{{1300, historyLost}}, 1301, follow.Action{Kind: follow.List}},
+		// Both guard against a daemon that keeps an old copy after an outage, because it waits for
+		// as long as one that polls but does not poll.
+		"a borrowed copy does not end the polls":    {[]event{{1300, failed}, {1350, failed}, {1400, failed}, {1450, borrowed(7)}}, 1450, poll("r-1", 7, 750)},
+		"without readers it waits for less":         {[]event{{1300, failed}, {1350, failed}, {1400, failed}, {1450, withoutReaders}}, 1600, follow.Action{Kind: follow.Watch, Revision: 5, Timeout: follow.DefaultWatchTimeout}},
+		"an answer counts from its receipt":         {[]event{{1300, received(at(400), 5)}}, 1310, poll("r-1", 5, 390)},
+		"a reader's answer counts from its receipt": {[]event{{1200, polled(follow.Copy{Revision: 5, Age: 50 * time.Millisecond, Received: at(450)}, "r-1")}}, 1210, poll("r-1", 5, 490)},
+		"lost history is listed":                    {[]event{{1300, historyLost}}, 1301, follow.Action{Kind: follow.List}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/follow/simulation_test.go
+++ b/follow/simulation_test.go
@@ -18,6 +18,8 @@
 	storeDelay   = 4 * time.Millisecond
 	memberDelay  = time.Millisecond
 	answerMargin = 50 * time.Millisecond
+	// tickInterval is how often a member checks whether it is to borrow a copy.
+	tickInterval = 50 * time.Millisecond
 	// listTimeout is how long a list may take, and watchMargin how much longer than its
 	// waiting time a watch.
 	listTimeout = 2 * time.Second
@@ -132,6 +134,7 @@
 		}
 		s.members = append(s.members, m)
 		s.after(time.Duration(s.random.IntN(300))*time.Millisecond, m.act)
+		s.after(tickInterval, m.tick)
 	}
 	return s
 }
@@ -248,27 +251,60 @@
 	return m.fleet.now
 }
 
-// end ends an action: it applies the result, wakes the polls and acts again.
+// end ends an action: it applies the result and acts again.
 func (m *simMember) end(apply func()) {
 	m.deliver(func() {
-		apply()
-		held := m.f.Version()
-		if m.held.After(held) {
-			m.fleet.violations = append(m.fleet.violations, fmt.Sprintf("member %d went from %+v to %+v", m.id, m.held, held))
-		}
-		for v := m.held; v.Era == held.Era && v.Revision < held.Revision; {
-			v.Revision++
-			if at, ok := m.fleet.changedAt[v]; ok {
-				m.fleet.delays = append(m.fleet.delays, m.fleet.now.Sub(at))
-			}
+		m.apply(apply)
+		m.act()
+	})
+}
+
+// apply applies what has arrived, checks the copy and wakes the polls.
+func (m *simMember) apply(arrived func()) {
+	arrived()
+	held := m.f.Version()
+	if m.held.After(held) {
+		m.fleet.violations = append(m.fleet.violations, fmt.Sprintf("member %d went from %+v to %+v", m.id, m.held, held))
+	}
+	for v := m.held; v.Era == held.Era && v.Revision < held.Revision; {
+		v.Revision++
+		if at, ok := m.fleet.changedAt[v]; ok {
+			m.fleet.delays = append(m.fleet.delays, m.fleet.now.Sub(at))
 		}
-		m.held = held
-		waiting := m.waiting
-		m.waiting = nil
-		for _, w := range waiting {
-			m.answerPoll(w)
+	}
+	m.held = held
+	waiting := m.waiting
+	m.waiting = nil
+	for _, w := range waiting {
+		m.answerPoll(w)
+	}
+}
+
+// tick borrows a copy of a random member whenever the follower says so.
+func (m *simMember) tick() {
+	m.deliver(func() {
+		if m.f.QueryDue(m.fleet.now) {
+			m.borrow(m.fleet.members[m.fleet.random.IntN(len(m.fleet.members))])
 		}
-		m.act()
+		m.fleet.after(tickInterval, m.tick)
+	})
+}
+
+// borrow requests the copy of another member and applies it if it is newer.
+func (m *simMember) borrow(lender *simMember) {
+	s := m.fleet
+	if lender == m || m.fault == cutOff || lender.fault == cutOff || lender.fault == frozen {
+		return
+	}
+	held := m.f.Version()
+	s.after(memberDelay, func() {
+		lent := lender.f.Lend(held, len(s.members)-1, s.now)
+		s.after(memberDelay, func() {
+			lent.Received = m.received()
+			m.deliver(func() {
+				m.apply(func() { m.f.ApplyCopy(lent, fmt.Sprint(lender.id), s.now) })
+			})
+		})
 	})
 }
 
