node: daemons that were not told of a banned request ask their siblings

Cause: bans are in memory only and are sent to those who are listed at the crash. A daemon that starts asked nobody; one that was cut off, or whose upstream had crashed itself, waited for a sibling to choose it, every 5 s at random. The sender of a refused request tries up to four daemons and finds the one that does not know.

Ruled out: bans that had ended (they last an hour), and daemons that know of the ban and let the request run.

Change: each daemon compares a digest of its quarantine entries with a random sibling once per second and gets the entries if they differ. A daemon that starts asks three siblings, and is ready once they have replied or after 0.3 s.

--- a/node/control.go
+++ b/node/control.go
@@ -18,24 +18,37 @@
 	}
 	n.view.NoteReceived(e.From, e.Incarnation, now)
 	n.noteUnlisted(e)
-	if n.direct() && e.Kind != kindLoad && e.Kind != kindSuspects {
-		return nil
-	}
 	switch e.Kind {
 	case kindLoad:
 		n.receiveLoad(e.From, e.Body, now)
+		return nil
 	case kindSuspects:
 		n.receiveSuspects(e.Body, now)
+		return nil
+	case kindSuspectsRequest:
+		return n.replySuspects(e.From, e.Body, now)
+	case kindSuspectsReply:
+		n.receiveSuspectsReply(e.From, e.Body, now)
+		return nil
+	}
+	if n.direct() {
+		return nil
+	}
+	return n.fleetMessage(e, now)
+}
+
+// fleetMessage handles a message between daemons that spread documents and membership
+// themselves.
+func (n *Node) fleetMessage(e peer.Envelope, now time.Time) []Command {
+	switch e.Kind {
 	case kindSpread:
 		var body spread.Message
 		if json.Unmarshal(e.Body, &body) != nil || body.From != e.From {
 			return nil
 		}
 		return n.applySpreadActions(n.spread.Receive(body, now), now)
-	default:
-		return n.keyMessage(e, now)
 	}
-	return nil
+	return n.keyMessage(e, now)
 }
 
 // keyMessage handles a message between the homes of keys.
--- a/node/direct.go
+++ b/node/direct.go
@@ -15,6 +15,7 @@
 // instancesListed applies the store's list of instances.
 func (n *Node) instancesListed(m InstancesListed, now time.Time) []Command {
 	n.view.EndPause()
+	n.instancesKnown = true
 	before := n.upstreamState()
 	old := n.recordsByIncarnation()
 	list, out := n.withoutReturned(m, now)
--- a/node/node.go
+++ b/node/node.go
@@ -96,6 +96,9 @@
 	// when it was last sent to a sibling.
 	suspects       *quarantine.Quarantine
 	suspectsSentAt time.Time
+	suspectSync    suspectSync
+	// instancesKnown is set once the store's list of instances has been read.
+	instancesKnown bool
 
 	// coordinator decides on idempotency keys. homes holds the possible homes
 	// of keys by service, coordinatorGeneration is the membership generation
@@ -162,21 +165,22 @@
 		view: membership.New(membership.Config{
 			Self: cfg.Self, Incarnation: cfg.Incarnation, Started: cfg.Started, ResumeTimeout: resumeTimeout(cfg),
 		}),
-		unlisted:   map[string]string{},
-		calls:      map[string]*callState{},
-		sets:       map[candidateKey]*candidateSet{},
-		pickers:    map[string]*balance.Picker{},
-		policies:   map[string]*retry.Policy{},
-		splits:     map[string]*split{},
-		links:      newLinks(cfg.Self.AvailabilityZone),
-		runs:       map[string]*runState{},
-		gate:       admit.New(admit.Config{}),
-		meter:      measure.New(measure.Config{Rand: cfg.Rand}),
-		homes:      map[string]*homeSet{},
-		senders:    map[string]time.Time{},
-		routeWork:  map[string]work{},
-		routeTimes: map[string]*longestTime{},
-		suspects:   quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
+		unlisted:    map[string]string{},
+		calls:       map[string]*callState{},
+		sets:        map[candidateKey]*candidateSet{},
+		pickers:     map[string]*balance.Picker{},
+		policies:    map[string]*retry.Policy{},
+		splits:      map[string]*split{},
+		links:       newLinks(cfg.Self.AvailabilityZone),
+		runs:        map[string]*runState{},
+		gate:        admit.New(admit.Config{}),
+		meter:       measure.New(measure.Config{Rand: cfg.Rand}),
+		homes:       map[string]*homeSet{},
+		senders:     map[string]time.Time{},
+		routeWork:   map[string]work{},
+		routeTimes:  map[string]*longestTime{},
+		suspects:    quarantine.New(quarantine.Config{Self: cfg.Self.ID, Incarnation: cfg.Incarnation}),
+		suspectSync: newSuspectSync(),
 		coordinator: once.New(once.Config{
 			Self:    once.Incarnation{ID: cfg.Self.ID, Number: cfg.Incarnation},
 			Started: cfg.Started,
@@ -257,7 +261,8 @@
 	case InstancesRead:
 		return n.instancesRead(m, now)
 	case InstancesListed:
-		return n.instancesListed(m, now)
+		out := n.instancesListed(m, now)
+		return append(out, n.tickSuspectSync(now)...)
 	case ZonesEvacuated:
 		return n.zonesEvacuated(m, now)
 	case DocumentRead:
@@ -310,6 +315,7 @@
 		out = append(out, n.sendLoadToSiblings(now)...)
 	}
 	out = append(out, n.tickSuspects(now)...)
+	out = append(out, n.tickSuspectSync(now)...)
 	return append(out, n.probe(now)...)
 }
 
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -12,8 +12,8 @@
 // kindSuspects is the kind of control message that carries quarantine entries.
 const kindSuspects = "quarantine"
 
-// suspectsInterval is how often all entries are sent to a random sibling, in
-// case it missed a message or has just started.
+// suspectsInterval is how often all entries are sent to a random sibling, with the
+// times of the last attempts, on which the ends of bans depend.
 const suspectsInterval = 5 * time.Second
 
 // quarantineCheck decides, by the evidence in the quarantine, whether a request may
--- a/node/status.go
+++ b/node/status.go
@@ -64,15 +64,21 @@
 }
 
 // Ready reports whether the daemon holds the switches and the document of its
-// own service, has confirmed that they are the fleet's, and is not stopping. A
-// daemon that reads the store itself needs the routes instead.
+// own service, has confirmed that they are the fleet's, knows which requests its
+// siblings have banned, and is not stopping. A daemon that reads the store itself
+// needs the routes instead of the documents.
 func (n *Node) Ready() bool {
+	return n.configured() && !n.awaitsSuspects() && !n.stopping
+}
+
+// configured reports whether the daemon holds the documents that it needs to serve.
+func (n *Node) configured() bool {
 	if n.direct() {
-		return n.config.Routes() != nil && !n.stopping
+		return n.config.Routes() != nil
 	}
 	_, service := n.config.Service(n.cfg.Self.Service)
 	_, switches := n.config.Document(config.KeySwitches)
-	return service && switches && n.config.Confirmed() && !n.stopping
+	return service && switches && n.config.Confirmed()
 }
 
 // Status returns the daemon's state for operators.
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Merge merges entries received from another daemon of the service. Entries may
@@ -49,6 +51,29 @@
 	return entries
 }
 
+// Digest returns a hash of what the daemon knows of all requests. If the digests of two
+// daemons are equal, both decide alike on each request.
+func (q *Quarantine) Digest(now time.Time) uint64 {
+	var digest uint64
+	for _, e := range q.entries {
+		if !q.expired(e, now) {
+			digest ^= e.digest()
+		}
+	}
+	return digest
+}
+
+// digest hashes the part of an entry on which decisions depend.
+func (e *entry) digest() uint64 {
+	state := []byte{byte(min(e.unclearedCrashes(), banThreshold)), 0}
+	if e.uncertain() {
+		state[1] = 1
+	}
+	hash := xxhash.NewWithSeed(e.fingerprint)
+	_, _ = hash.Write(state)
+	return hash.Sum64()
+}
+
 // Expire drops expired entries. It should be called about once a minute.
 func (q *Quarantine) Expire(now time.Time) {
 	for fingerprint, e := range q.entries {
