--- a/admit/cold_limit.go
+++ b/admit/cold_limit.go
@@ -1,6 +1,10 @@
 package admit
 
-import "time"
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/times"
+)
 
 const (
 	// coldWindow is the time in which the limits of a cold upstream apply.
@@ -150,7 +154,7 @@
 		at = spaced
 	}
 	if len(starts) >= l.limit.Starts {
-		at = later(at, starts[len(starts)-l.limit.Starts].at.Add(coldWindow+1))
+		at = times.Later(at, starts[len(starts)-l.limit.Starts].at.Add(coldWindow+1))
 	}
 	if l.firstSecondUsed(starts, at) {
 		at = l.since.Add(coldWindow + 1)
@@ -167,13 +171,6 @@
 // gap returns the time between two evenly spaced starts.
 func (l *coldLimiter) gap() time.Duration { return coldWindow / time.Duration(l.limit.Starts) }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // started counts a call that starts now.
 func (l *coldLimiter) started(now time.Time) {
 	if !l.enabled() {
@@ -182,7 +179,7 @@
 	s := sending{at: now, limited: !l.unlimited(now)}
 	if s.limited {
 		l.limitedStarts++
-		l.spacing = later(l.spacing, now).Add(l.gap())
+		l.spacing = times.Later(l.spacing, now).Add(l.gap())
 	}
 	l.prune(now)
 	l.starts = append(l.starts, s)
@@ -254,7 +251,7 @@
 	starts, spacing, at := append([]sending(nil), l.starts...), l.spacing, now
 	for range ahead + 1 {
 		at = l.startAfter(starts, spacing, at)
-		starts, spacing = append(starts, sending{at: at}), later(spacing, at).Add(l.gap())
+		starts, spacing = append(starts, sending{at: at}), times.Later(spacing, at).Add(l.gap())
 	}
 	if l.warmth == cold && l.coldUntil.After(now) && l.coldUntil.Before(at) {
 		at = l.coldUntil
--- a/follow/copy.go
+++ b/follow/copy.go
@@ -1,6 +1,10 @@
 package follow
 
-import "time"
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/times"
+)
 
 const (
 	// queryDelay is how long the store may leave a list unanswered before another
@@ -116,7 +120,7 @@
 	f.forgetHistory(c.Revision)
 	// A daemon that polls gets the later changes from its reader.
 	f.revision, f.lentVersion, f.listed = c.Revision, c.version(), f.Polls()
-	f.confirmedAt = later(f.confirmedAt, receivedBy(c.Received, now).Add(-c.Age))
+	f.confirmedAt = times.Later(f.confirmedAt, receivedBy(c.Received, now).Add(-c.Age))
 	return true
 }
 
@@ -139,10 +143,3 @@
 	}
 	f.queryInterval = minQueryInterval
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -1,6 +1,10 @@
 package follow
 
-import "time"
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/times"
+)
 
 const (
 	// minBackoff is the wait after the first failure; it doubles with each
@@ -45,7 +49,7 @@
 	if calledAt.IsZero() {
 		calledAt = now
 	}
-	return later(now.Add(f.jittered(minBackoff)), calledAt.Add(f.jittered(backoff)))
+	return times.Later(now.Add(f.jittered(minBackoff)), calledAt.Add(f.jittered(backoff)))
 }
 
 // backoff returns the average time between two calls after the failures so far.
@@ -61,7 +65,7 @@
 	if f.inFault {
 		f.graceUntil = now.Add(f.cfg.Retention)
 		if !f.readerGraceUntil.IsZero() {
-			f.graceUntil = earlier(f.graceUntil, f.readerGraceUntil)
+			f.graceUntil = times.Earlier(f.graceUntil, f.readerGraceUntil)
 		}
 	}
 	f.recovered()
--- a/follow/retention.go
+++ b/follow/retention.go
@@ -1,6 +1,10 @@
 package follow
 
-import "time"
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/times"
+)
 
 // Expire removes the retained keys that have expired, and reports whether there
 // were any.
@@ -68,7 +72,7 @@
 	}
 	switch a.Kind {
 	case Wait:
-		a.At = earlier(a.At, expiry)
+		a.At = times.Earlier(a.At, expiry)
 	case Poll:
 		a.Timeout = min(a.Timeout, max(expiry.Sub(now), minPollInterval))
 	case Watch:
--- a/follow/version.go
+++ b/follow/version.go
@@ -1,6 +1,10 @@
 package follow
 
-import "time"
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/times"
+)
 
 // Version identifies a state of the store. A store that returns from an older copy begins
 // a new era, in which it assigns revisions again.
@@ -30,7 +34,7 @@
 // that are missing in it are retained: what wrote them has to write them again.
 func (f *Follower) beginEra(era uint64, now time.Time) {
 	if f.revision > 0 {
-		f.graceUntil = later(f.graceUntil, now.Add(f.cfg.Retention))
+		f.graceUntil = times.Later(f.graceUntil, now.Add(f.cfg.Retention))
 	}
 	f.era = era
 }
--- a/once/begin.go
+++ b/once/begin.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/times"
 )
 
 // beginIssued handles an issued key. Only the incarnation named in the key may
@@ -80,7 +81,7 @@
 func (c *Coordinator) windowStart(key Key, now time.Time) time.Time {
 	earliest := now.Add(-c.config.Window)
 	if key.Kind == Timed {
-		earliest = later(earliest, now.Add(key.CreatedAt.Sub(now)-c.config.MaxSkew))
+		earliest = times.Later(earliest, now.Add(key.CreatedAt.Sub(now)-c.config.MaxSkew))
 	}
 	return earliest
 }
@@ -98,7 +99,7 @@
 func (c *Coordinator) recordFor(req call.Request, now time.Time) (*record, bool) {
 	expiry := c.expiry(req.Key, now)
 	if r := c.records.get(req.Key, now); r != nil {
-		r.expiry = later(r.expiry, expiry)
+		r.expiry = times.Later(r.expiry, expiry)
 		return r, true
 	}
 	return c.records.add(req.Key, req.Fingerprint, expiry)
--- a/once/claim.go
+++ b/once/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/times"
 )
 
 // HandleClaim handles the claim of another home that wants to run a key.
@@ -59,7 +60,7 @@
 	}
 	earlier := slices.Clone(r.grantees)
 	r.addGrantee(claim.From)
-	r.expiry = later(r.expiry, expiry)
+	r.expiry = times.Later(r.expiry, expiry)
 	return Granted, earlier, StoredAnswer{}
 }
 
--- a/once/coordinator.go
+++ b/once/coordinator.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/times"
 )
 
 // Defaults of Config.
@@ -213,7 +214,7 @@
 	if !ok || !r.awaitsOutcome() {
 		return call.Unknown
 	}
-	r.expiry = later(r.expiry, c.expiry(key, now))
+	r.expiry = times.Later(r.expiry, c.expiry(key, now))
 	switch outcome {
 	case call.NotRun:
 		r.state, r.attempt, r.answer = idle, nil, StoredAnswer{}
@@ -282,10 +283,3 @@
 func refuse(req call.Request, outcome call.Outcome, reason call.Reason) []Action {
 	return []Action{{Kind: Refuse, CallID: req.ID, Key: req.Key, Outcome: outcome, Reason: reason}}
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/once/heartbeat.go
+++ b/once/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/times"
 )
 
 // Heartbeat returns the message to send to the instances in Recipients at least
@@ -125,7 +126,7 @@
 		p = c.getOrAddPeer(report.Incarnation, now)
 		p.seenAt = seen
 	}
-	p.seenAt = later(p.seenAt, now.Add(-millis(report.SeenMs)))
+	p.seenAt = times.Later(p.seenAt, now.Add(-millis(report.SeenMs)))
 	if report.Retired {
 		p.retire(now.Add(-millis(report.StoppedMs)))
 	}
@@ -159,7 +160,7 @@
 		if r.state == ended && r.answer.Outcome == call.Run || r.state == running {
 			continue
 		}
-		r.expiry = later(r.expiry, expiry)
+		r.expiry = times.Later(r.expiry, expiry)
 		answer := unknownAnswer
 		if h.Ran {
 			answer = StoredAnswer{Outcome: call.Run, Status: h.Status}
--- a/once/lease.go
+++ b/once/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pomelodoor.example/pomelodoor/call"
+	"pomelodoor.example/pomelodoor/times"
 )
 
 // renewLease updates the lease, the horizon and the peers' votes. Holding the
@@ -120,7 +121,7 @@
 	last := p.receivedAt
 	for _, q := range c.peers.byIncarnation {
 		if q != p && c.hasFreshEcho(q, now) {
-			last = later(last, q.receivedFrom[p.incarnation])
+			last = times.Later(last, q.receivedFrom[p.incarnation])
 		}
 	}
 	if last.IsZero() {
--- a/once/peers.go
+++ b/once/peers.go
@@ -1,6 +1,10 @@
 package once
 
-import "time"
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/times"
+)
 
 // peer is what this daemon knows of another incarnation of the service.
 type peer struct {
@@ -103,7 +107,7 @@
 		c.peers.byIncarnation[inc] = p
 		c.supersede(inc, now)
 	}
-	p.seenAt = later(p.seenAt, now)
+	p.seenAt = times.Later(p.seenAt, now)
 	return p
 }
 
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"pomelodoor.example/pomelodoor/times"
 )
 
 // Merge merges entries received from another daemon of the service. Entries may
@@ -19,8 +21,8 @@
 		for _, evidence := range received.Evidence {
 			e.addEvidence(evidence)
 		}
-		e.lastCrash = later(e.lastCrash, timeFromAge(received.CrashedMs, now))
-		e.lastAttempt = later(e.lastAttempt, timeFromAge(received.TriedMs, now))
+		e.lastCrash = times.Later(e.lastCrash, timeFromAge(received.CrashedMs, now))
+		e.lastAttempt = times.Later(e.lastAttempt, timeFromAge(received.TriedMs, now))
 		if banned := timeFromAge(received.BannedMs, now); !banned.IsZero() && (e.bannedAt.IsZero() || banned.Before(e.bannedAt)) {
 			e.bannedAt = banned
 		}
@@ -98,10 +100,3 @@
 	}
 	return n
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/spread/platform.go
+++ b/spread/platform.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pomelodoor.example/pomelodoor/times"
 )
 
 // ReadKind is the kind of a Read.
@@ -131,10 +133,10 @@
 		due = s.compareAt
 	}
 	if s.config.IsReader() && s.fleetKnown() {
-		due = earlier(due, earlier(r.index.due, r.instances.due))
+		due = times.Earlier(due, times.Earlier(r.index.due, r.instances.due))
 	}
 	if len(r.queue) > 0 && len(r.inFlight) < maxValuesInFlight {
-		due = earlier(due, r.nextValueAt)
+		due = times.Earlier(due, r.nextValueAt)
 	}
 	return due
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -19,7 +19,11 @@
 // safe for concurrent use.
 package spread
 
-import "time"
+import (
+	"time"
+
+	"pomelodoor.example/pomelodoor/times"
+)
 
 // Defaults of Config.
 const (
@@ -190,12 +194,12 @@
 func (s *State) NextTick() time.Time {
 	at := s.compareAt
 	if s.flushPending() {
-		at = earlier(at, s.flushAt)
+		at = times.Earlier(at, s.flushAt)
 	}
 	if s.wants.pending() {
-		at = earlier(at, s.wants.due)
+		at = times.Earlier(at, s.wants.due)
 	}
-	return earlier(at, s.readDue())
+	return times.Earlier(at, s.readDue())
 }
 
 // Put stores an item that was not received from another daemon and offers it to
--- a/spread/want.go
+++ b/spread/want.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pomelodoor.example/pomelodoor/times"
 )
 
 // wantTimeout is how long a requested item may take to arrive.
@@ -49,7 +51,7 @@
 	w.due = now.Add(wantTimeout)
 	for key, pending := range w.byKey {
 		if now.Before(pending.due) {
-			w.due = earlier(w.due, pending.due)
+			w.due = times.Earlier(w.due, pending.due)
 			continue
 		}
 		delete(w.byKey, key)
@@ -65,13 +67,6 @@
 	return daemons, keys
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // retryWants requests the items that did not arrive in time from other daemons.
 func (s *State) retryWants(actions []Action, now time.Time) []Action {
 	if !s.wants.pending() || now.Before(s.wants.due) {
