--- a/follow/poll.go
+++ b/follow/poll.go
@@ -45,12 +45,17 @@
 		return Action{Kind: Wait, At: times.Earlier(usableAt, readAt)}
 	}
 	f.nextPollAt = now.Add(minPollInterval)
-	wait := readAt.Sub(now)
+	return Action{Kind: Poll, Reader: reader, Era: f.era, Revision: f.revision, Timeout: f.pollTimeout(readAt, now)}
+}
+
+// pollTimeout returns how long a poll may wait. In a fault of the store the next read is far
+// away, and a reader that does not answer must not be polled until then.
+func (f *Follower) pollTimeout(readAt, now time.Time) time.Duration {
+	timeout := readAt.Sub(now)
 	if f.inFault {
-		// The next read is far away, and the reader may not answer either.
-		wait = min(wait, f.cfg.percent(readIntervalPercent))
+		return min(timeout, f.cfg.percent(readIntervalPercent))
 	}
-	return Action{Kind: Poll, Reader: reader, Era: f.era, Revision: f.revision, Timeout: wait}
+	return timeout
 }
 
 // readAt returns when a daemon that polls reads the store itself.
@@ -105,7 +110,7 @@
 	if !f.inFault || !f.requestedReadAt.IsZero() {
 		return
 	}
-	wait := min(minBackoff<<min(f.failures-1, 8), f.cfg.percent(requestedReadPercent))
+	wait := min(f.backoff(), f.cfg.percent(requestedReadPercent))
 	f.requestedReadAt = times.Later(now.Add(f.spread(maxDirectSpreadPercent)), f.failedAt.Add(f.jittered(wait)))
 }
 
@@ -121,10 +126,11 @@
 		f.listForEra(now)
 		return false
 	}
-	age := c.Age + now.Sub(receivedBy(c.Received, now))
+	received := receivedBy(c.Received, now)
+	age := c.Age + now.Sub(received)
 	f.judgeReader(c, from, age, now)
 	if c.Grace > 0 {
-		f.adoptGrace(now.Add(c.Grace))
+		f.adoptGrace(received.Add(c.Grace))
 	}
 	if c.ReadStore {
 		f.readRequested = true
