daemon, node: logs tell what is retained after an outage, and bans learned from siblings

Cause: the logs could not tell a removal that was not read from one that was read and held back, nor a daemon that knew of a ban from one that did not.

Change: the line for the return of the store has the number of retained entries, and a daemon that learns of other suspects or bans from a sibling says so.

--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -176,7 +176,7 @@
 	case isFailing && !wasFailing:
 		d.logFor("store").Warn("The store is unavailable.", "revision", d.storeCopy.version().Revision, "error", err)
 	case wasFailing && !isFailing:
-		d.logFor("store").Info("The store is available again.", "revision", d.storeCopy.version().Revision)
+		d.logFor("store").Info("The store is available again.", "revision", d.storeCopy.version().Revision, "retained", d.storeCopy.retained())
 	}
 }
 
--- a/daemon/store_copy.go
+++ b/daemon/store_copy.go
@@ -230,6 +230,13 @@
 	return s.follower.Version(), s.follower.QueryDue(now)
 }
 
+// retained returns the number of keys that are kept although the store no longer has them.
+func (s *storeCopy) retained() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower.Retained()
+}
+
 func (s *storeCopy) failing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -63,6 +63,8 @@
 	tests := map[string]struct {
 		events []event
 		keys   []string
+		// retained is how many of the keys the store no longer has.
+		retained int
 		// ms is the time at which Next is called.
 		ms     int
 		action follow.Action
@@ -117,7 +119,7 @@
 		},
 		"key that disappeared during a fault is retained": {
 			events: []event{{0, listed(5, false, item("a", 1), item("b", 2))}, {10, failed}, {5000, listed(9, false, item("a", 1))}},
-			keys:   []string{"a", "b"}, ms: 5001,
+			keys:   []string{"a", "b"}, retained: 1, ms: 5001,
 			action: follow.Action{Kind: follow.Watch, Revision: 9, Timeout: 2499 * time.Millisecond},
 		},
 		"retained key expires": {
@@ -150,6 +152,9 @@
 			if got := keys(f); !slices.Equal(got, test.keys) {
 				t.Errorf("got keys %v, want %v", got, test.keys)
 			}
+			if got := f.Retained(); got != test.retained {
+				t.Errorf("got %d retained keys, want %d", got, test.retained)
+			}
 			if got := f.Next(at(test.ms)); got != test.action {
 				t.Errorf("Next: got %+v, want %+v", got, test.action)
 			}
--- a/follow/retention.go
+++ b/follow/retention.go
@@ -10,6 +10,10 @@
 // were any.
 func (f *Follower) Expire(now time.Time) bool { return f.expire(now) }
 
+// Retained returns the number of keys that the store no longer has, but that are kept for
+// the rest of the grace period.
+func (f *Follower) Retained() int { return len(f.retainedUntil) }
+
 // replace replaces the copy with a complete list.
 func (f *Follower) replace(items map[string]Item, now time.Time) {
 	old := f.items
--- a/node/control.go
+++ b/node/control.go
@@ -28,8 +28,7 @@
 	case kindSuspectsRequest:
 		return n.replySuspects(e.From, e.Body, now)
 	case kindSuspectsReply:
-		n.receiveSuspectsReply(e.From, e.Body, now)
-		return nil
+		return n.receiveSuspectsReply(e.From, e.Body, now)
 	}
 	if n.direct() {
 		return nil
--- a/node/suspect_sync.go
+++ b/node/suspect_sync.go
@@ -130,23 +130,29 @@
 	return n.send(to, kindSuspectsReply, reply)
 }
 
-// receiveSuspectsReply merges the entries of a sibling that knows others. If it knows only
-// less, the next request waits for longer: this daemon's own entries reach the sibling by
-// the sibling's request.
-func (n *Node) receiveSuspectsReply(from string, body json.RawMessage, now time.Time) {
+// receiveSuspectsReply merges the entries of a sibling, and logs if it knew more. If it knows
+// only less, the next request waits for longer: this daemon's own entries reach the sibling
+// by the sibling's request.
+func (n *Node) receiveSuspectsReply(from string, body json.RawMessage, now time.Time) []Command {
 	var reply suspectsReply
 	if json.Unmarshal(body, &reply) != nil {
-		return
+		return nil
 	}
 	s := &n.suspectSync
-	before := n.suspects.Digest(now)
-	n.suspects.Merge(reply.Entries, now)
 	if s.starting() {
 		s.replied[from] = true
 		s.finishStart(len(n.view.Siblings(siblingCount)), now)
-		return
 	}
-	if len(reply.Entries) > 0 && n.suspects.Digest(now) == before {
+	before := n.suspects.Digest(now)
+	n.suspects.Merge(reply.Entries, now)
+	if n.suspects.Digest(now) != before {
+		return []Command{LogEntry{
+			Part: "quarantine", Text: "A sibling knew of other requests that crash upstreams.",
+			Fields: []any{"from", from, "suspects", n.suspects.Suspects(now), "banned", n.suspects.Bans(now)},
+		}}
+	}
+	if len(reply.Entries) > 0 && !s.starting() {
 		s.nextRequestAt = now.Add(suspectsInterval)
 	}
+	return nil
 }
