--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -83,7 +83,7 @@
 		"a failed read polls meanwhile":              {[]event{{1300, failed}}, 1310, poll("r-1", 5, 190)},
 		"a failed read is repeated":                  {[]event{{1300, failed}}, 1500, read(5)},
 		"a reader ends the fault":                    {[]event{{1300, failed}, {1400, polled(confirmed(0), "r-1")}}, 1500, poll("r-1", 5, 1200)},
-		// A poller in the backoff of a failed read keeps an old copy for up to 9.6 s if it
+		// A poller in the backoff of a failed read keeps an old copy for up to 7.2 s if it
 		// does not follow its reader; one whose reader is cut off too spares the store.
 		"a failed read follows a reader":                  {[]event{{1300, failed}, {1310, failed}, {1320, polled(readStore(100), "r-1")}}, 1410, read(5)},
 		"a failed read does not follow at once":           {[]event{{1300, failed}, {1310, failed}, {1320, polled(readStore(100), "r-1")}}, 1400, wait(1410)},
